--- /dev/null
+++ b/cmake/HeatherlatchTargets.cmake
@@ -0,0 +1,45 @@
+# Functions that declare the targets of a library folder.
+
+# heatherlatch_library(NAME SOURCES ... DEPS ...)
+# Declares the static library heatherlatch_NAME.
+function(heatherlatch_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_library(heatherlatch_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(heatherlatch_${name} PUBLIC ${CMAKE_SOURCE_DIR})
+  target_compile_options(heatherlatch_${name} PRIVATE -Wall -Wextra)
+  target_link_libraries(heatherlatch_${name} PUBLIC ${ARG_DEPS})
+endfunction()
+
+# heatherlatch_program(NAME SOURCES ... DEPS ...)
+# Declares the program NAME in the bin folder of the build.
+function(heatherlatch_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
+  target_compile_options(${name} PRIVATE -Wall -Wextra)
+  target_compile_definitions(${name} PRIVATE
+                             HEATHERLATCH_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY
+                                           ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# heatherlatch_test(NAME SOURCES ... DEPS ...)
+# Declares the one Catch2 test program of a library and registers it.
+function(heatherlatch_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
+  target_compile_options(${name} PRIVATE -Wall -Wextra)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS} heatherlatch_test_main
+                                        rapidcheck)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# heatherlatch_benchmark(NAME SOURCES ... DEPS ...)
+# Declares a Google Benchmark program in the bin folder of the build.
+function(heatherlatch_benchmark name)
+  heatherlatch_program(${name} ${ARGN})
+  target_link_libraries(${name} PRIVATE benchmark::benchmark)
+endfunction()
--- /dev/null
+++ b/heatherlatch/base/time.h
@@ -0,0 +1,25 @@
+// The time types of every signature that holds a time.
+//
+// Decision code never reads a clock: it takes `TimePoint now` as a parameter,
+// so a test can drive it with any sequence of times. `WallTime` is used only
+// where a time crosses to another process that has its own steady clock.
+#ifndef HEATHERLATCH_BASE_TIME_H_
+#define HEATHERLATCH_BASE_TIME_H_
+
+#include <chrono>
+
+namespace heatherlatch {
+
+using SteadyClock = std::chrono::steady_clock;
+using TimePoint = SteadyClock::time_point;
+using Duration = SteadyClock::duration;
+using WallTime = std::chrono::system_clock::time_point;
+
+// Returns `duration` as a number of milliseconds with its fraction.
+constexpr double ToMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_BASE_TIME_H_
