--- /dev/null
+++ b/heatherlatch/configuration/configuration_keeper.h
@@ -0,0 +1,100 @@
+// Keeps the newest accepted object set and never goes back to an older one.
+//
+// Sources are the platform's configuration service and peers. A document is
+// accepted when its revision is higher than the one in force and the whole set
+// passes its check. A newer document that does not pass is remembered as
+// rejected, so it is reported once and not fetched again; the set in force
+// stays. A host that has no set yet serves nothing (`Current` is null).
+//
+// A new host asks its peers before it serves, because the platform may be
+// stale: `MayServe` holds once a set is in force and every peer that was linked
+// in the first `peer_answer_wait` has reported its revision, or that wait is
+// over.
+//
+// Thread safety: none; the control thread owns it and publishes `Current`.
+// Reads no clock.
+#ifndef HEATHERLATCH_CONFIGURATION_CONFIGURATION_KEEPER_H_
+#define HEATHERLATCH_CONFIGURATION_CONFIGURATION_KEEPER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "heatherlatch/base/host_incarnation.h"
+#include "heatherlatch/base/result.h"
+#include "heatherlatch/base/time.h"
+#include "heatherlatch/objects/object_set.h"
+
+namespace heatherlatch {
+
+// A published document as text, with the revision the platform gave it.
+struct ConfigurationDocument {
+  Revision revision = 0;
+  std::string yaml;
+};
+
+struct Accepted {
+  Revision revision = 0;
+};
+struct AlreadyInForce {};
+struct Older {  // Not newer than what is in force, or already rejected.
+  Revision in_force = 0;
+};
+struct Rejected {
+  Revision revision = 0;
+  std::string problems;  // The findings of the check, a line each.
+};
+using OfferResult = std::variant<Accepted, AlreadyInForce, Older, Rejected>;
+
+struct ConfigurationOptions {
+  Duration peer_answer_wait = std::chrono::seconds(2);
+};
+
+class ConfigurationKeeper {
+ public:
+  // Parses and checks a document; the failed form carries `Rejected`.
+  using Checker =
+      std::function<std::variant<std::shared_ptr<const ObjectSet>, Rejected>(
+          const ConfigurationDocument&)>;
+
+  ConfigurationKeeper(ConfigurationOptions options, Checker checker,
+                      TimePoint started);
+
+  // Offers a document from the platform or a peer.
+  OfferResult Offer(const ConfigurationDocument& document, TimePoint now);
+
+  // Records the revision that a peer reports.
+  // @return whether the peer has a newer one that this host should ask for
+  bool OnPeerRevision(const HostIncarnation& peer, Revision revision);
+
+  // Records that a link to a peer is up, or lost.
+  void OnPeerLink(const HostIncarnation& peer, bool up);
+
+  // @return whether this host may serve requests
+  bool MayServe(TimePoint now) const;
+
+  // @return the set in force, or null
+  std::shared_ptr<const ObjectSet> Current() const;
+
+  // @return the document in force, for peers that ask; revision 0 if none
+  const ConfigurationDocument& Document() const;
+
+  // @return the revision in force; 0 if none
+  Revision InForce() const;
+
+ private:
+  ConfigurationOptions options_;
+  Checker checker_;
+  TimePoint started_;
+  std::shared_ptr<const ObjectSet> current_;
+  ConfigurationDocument document_;
+  Revision highest_rejected_ = 0;
+  // Revision that each linked peer has reported; 0 until it reports.
+  std::map<HostIncarnation, Revision> peer_revisions_;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_CONFIGURATION_CONFIGURATION_KEEPER_H_
--- /dev/null
+++ b/heatherlatch/settings/host_settings.h
@@ -0,0 +1,48 @@
+// The settings of one entry host, read from a YAML file.
+//
+// The file is checked whole, with the same kind of findings as a set of objects
+// (objects/check.h). A process does not start on a file with findings.
+// docs/CONFIGURATION.md lists every field.
+//
+// Thread safety: value types and pure functions.
+#ifndef HEATHERLATCH_SETTINGS_HOST_SETTINGS_H_
+#define HEATHERLATCH_SETTINGS_HOST_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "heatherlatch/base/endpoint.h"
+#include "heatherlatch/base/name.h"
+#include "heatherlatch/base/time.h"
+#include "heatherlatch/objects/check.h"
+
+namespace heatherlatch {
+
+struct HostSettings {
+  HostName name;
+  RegionName region;
+  ZoneName zone;
+  Endpoint caller_listen;  // HTTP for callers.
+  Endpoint admin_listen;   // HTTP for status and metrics.
+  Endpoint peer_listen;    // websocket for other entry hosts.
+  Endpoint platform;
+  std::vector<std::string> peer_keys;  // Newest first; at least one.
+  std::string log_path;                // Empty: standard error.
+  std::string log_level = "info";
+  int log_routine_lines_per_second = 200;
+  int max_requests_in_progress = 512;  // Above it callers are refused.
+  Duration configuration_wait = std::chrono::seconds(30);
+  Duration list_interval = std::chrono::seconds(1);
+  Duration stop_wait = std::chrono::seconds(60);  // For requests in progress.
+};
+
+// @param yaml  the text of the file
+// @return the settings, or every finding
+std::variant<HostSettings, std::vector<Finding>> ReadHostSettings(
+    std::string_view yaml);
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_SETTINGS_HOST_SETTINGS_H_
