Add the entry process and the status program

The request path: routing by published objects, slots from group owners, calls to backend servers, execution of requests that must not run twice, graceful stop, admin status.

--- a/heatherlatch/base/outcome.cc
+++ b/heatherlatch/base/outcome.cc
@@ -60,6 +60,8 @@
       return "ownership-not-proven";
     case UnknownReason::kStillRunning:
       return "still-running";
+    case UnknownReason::kRefusedUnchecked:
+      return "refused-unchecked";
   }
   return "unknown";
 }
--- a/heatherlatch/base/outcome.h
+++ b/heatherlatch/base/outcome.h
@@ -45,6 +45,9 @@
   kRecordExpired,
   kOwnershipNotProven,
   kStillRunning,
+  // Refused before the record of its key was looked at: an earlier send under
+  // the same key may have run.
+  kRefusedUnchecked,
 };
 
 struct NotRun {
--- /dev/null
+++ b/heatherlatch/entry/caller_request.h
@@ -0,0 +1,62 @@
+// A caller's request and the answer to it, free of any HTTP library.
+//
+// Thread safety: value types and pure functions.
+#ifndef HEATHERLATCH_ENTRY_CALLER_REQUEST_H_
+#define HEATHERLATCH_ENTRY_CALLER_REQUEST_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "heatherlatch/backend/backend_client.h"
+#include "heatherlatch/base/time.h"
+
+namespace heatherlatch {
+
+struct CallerRequest {
+  std::string method;
+  std::string target;  // Path and query, as sent.
+  HeaderList headers;
+  std::string body;
+  TimePoint arrived;
+  std::function<bool()> cancelled;  // Whether the caller has gone.
+};
+
+struct CallerAnswer {
+  int status = 0;
+  HeaderList headers;
+  std::string body;
+};
+
+namespace caller_header {
+inline constexpr std::string_view kOrganisation = "Heatherlatch-Organisation";
+inline constexpr std::string_view kTicket = "Heatherlatch-Ticket";
+inline constexpr std::string_view kDeadline = "Heatherlatch-Deadline-Ms";
+inline constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
+inline constexpr std::string_view kRequestId = "X-Request-Id";
+inline constexpr std::string_view kOutcome = "Heatherlatch-Outcome";
+inline constexpr std::string_view kReason = "Heatherlatch-Reason";
+inline constexpr std::string_view kHost = "Heatherlatch-Host";
+inline constexpr std::string_view kZone = "Heatherlatch-Zone";
+inline constexpr std::string_view kServer = "Heatherlatch-Server";
+inline constexpr std::string_view kReplayed = "Heatherlatch-Replayed";
+inline constexpr std::string_view kRetryAfter = "Retry-After";
+}  // namespace caller_header
+
+// @return the first header of that name, compared without case
+std::optional<std::string_view> FindHeader(const HeaderList& headers,
+                                           std::string_view name);
+
+// @return whether two header names are equal without case
+bool SameHeaderName(std::string_view a, std::string_view b);
+
+// @return the path of a target: the part before the query
+std::string_view PathOf(std::string_view target);
+
+// @return the headers that are passed on to a backend server
+HeaderList ForwardedHeaders(const HeaderList& headers);
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_ENTRY_CALLER_REQUEST_H_
--- /dev/null
+++ b/heatherlatch/entry/content_digest.h
@@ -0,0 +1,19 @@
+// Hashes the content of a request.
+//
+// Thread safety: pure functions.
+#ifndef HEATHERLATCH_ENTRY_CONTENT_DIGEST_H_
+#define HEATHERLATCH_ENTRY_CONTENT_DIGEST_H_
+
+#include <string_view>
+
+#include "heatherlatch/admission/crash_suspects.h"
+
+namespace heatherlatch {
+
+// @return XXH3 over method, target and body, each with its length
+ContentDigest DigestOf(std::string_view method, std::string_view target,
+                       std::string_view body);
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_ENTRY_CONTENT_DIGEST_H_
--- /dev/null
+++ b/heatherlatch/entry/dispatcher.cc
@@ -0,0 +1,303 @@
+#include "heatherlatch/entry/dispatcher.h"
+
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "heatherlatch/entry/content_digest.h"
+
+namespace heatherlatch {
+namespace {
+
+constexpr int kMaxAttempts = 4;
+constexpr double kDefaultRetryShare = 0.1;
+constexpr double kRetryReserve = 20;
+// How often a request waits for another run of the same suspected content.
+constexpr auto kSuspectPollInterval = std::chrono::milliseconds(10);
+
+CallEnd EndOf(const BackendNotRun& end) {
+  switch (end.reason) {
+    case BackendNotRunReason::kConnectFailed:
+      return CallEnd::kConnectFailed;
+    case BackendNotRunReason::kShed:
+      return CallEnd::kShed;
+    case BackendNotRunReason::kDraining:
+      return CallEnd::kDraining;
+    case BackendNotRunReason::kNoTime:
+      return CallEnd::kNotUsed;
+  }
+  return CallEnd::kNotUsed;
+}
+
+struct EndVisitor {
+  CallEnd operator()(const BackendAnswered&) const {
+    return CallEnd::kAnswered;
+  }
+  CallEnd operator()(const BackendNotRun& end) const { return EndOf(end); }
+  CallEnd operator()(const BackendUnknown& end) const {
+    switch (end.reason) {
+      case BackendUnknownReason::kTimedOut:
+        return CallEnd::kTimedOut;
+      case BackendUnknownReason::kCancelled:
+        return CallEnd::kNotUsed;
+      default:
+        return CallEnd::kFailed;
+    }
+  }
+};
+
+struct OutcomeVisitor {
+  Outcome operator()(const BackendAnswered&) const { return Ran{}; }
+  Outcome operator()(const BackendNotRun& end) const {
+    switch (end.reason) {
+      case BackendNotRunReason::kConnectFailed:
+        return NotRun{NotRunReason::kConnectFailed};
+      case BackendNotRunReason::kShed:
+        return NotRun{NotRunReason::kShedByServer};
+      case BackendNotRunReason::kDraining:
+        return NotRun{NotRunReason::kServerDraining};
+      case BackendNotRunReason::kNoTime:
+        return NotRun{NotRunReason::kDeadlineTooShort};
+    }
+    return NotRun{NotRunReason::kConnectFailed};
+  }
+  Outcome operator()(const BackendUnknown& end) const {
+    switch (end.reason) {
+      case BackendUnknownReason::kTimedOut:
+        return Unknown{UnknownReason::kDeadlineExceeded};
+      case BackendUnknownReason::kIncompleteBody:
+      case BackendUnknownReason::kMalformedAnswer:
+        return Unknown{UnknownReason::kAnswerIncomplete};
+      case BackendUnknownReason::kConnectionLost:
+      case BackendUnknownReason::kCancelled:
+        return Unknown{UnknownReason::kAnswerLost};
+    }
+    return Unknown{UnknownReason::kAnswerLost};
+  }
+};
+
+CallReport ReportOf(const BackendResult& call) {
+  CallReport report;
+  report.end = std::visit(EndVisitor{}, call.end);
+  report.service_time = call.first_byte;
+  report.boot_id = call.signs.boot_id;
+  report.reported_in_flight = call.signs.in_flight;
+  report.cold = call.signs.cold;
+  return report;
+}
+
+bool IsServerLost(const BackendResult& call) {
+  const auto* unknown = std::get_if<BackendUnknown>(&call.end);
+  if (unknown == nullptr) return false;
+  return unknown->reason == BackendUnknownReason::kConnectionLost ||
+         unknown->reason == BackendUnknownReason::kIncompleteBody;
+}
+
+bool MayTryAgain(const DispatchRequest& request, const BackendResult& call) {
+  if (std::holds_alternative<BackendNotRun>(call.end)) return true;
+  const auto* unknown = std::get_if<BackendUnknown>(&call.end);
+  if (unknown == nullptr || unknown->head_delivered) return false;
+  if (unknown->reason == BackendUnknownReason::kCancelled) return false;
+  return request.idempotent;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(const SnapshotCell* snapshots, SlotClient* slots,
+                       BackendClient* backend, TrafficAccounts* accounts,
+                       EventLog* log, Metrics* metrics, ShareSuspect share)
+    : snapshots_(snapshots),
+      slots_(slots),
+      backend_(backend),
+      accounts_(accounts),
+      log_(log),
+      metrics_(metrics),
+      share_(std::move(share)),
+      suspects_(CrashSuspectsOptions{}),
+      retries_(kDefaultRetryShare, kRetryReserve) {}
+
+DispatchResult Dispatcher::Dispatch(const DispatchRequest& request,
+                                    const AnswerSink& sink) {
+  const ContentDigest digest =
+      DigestOf(request.method, request.target, request.body);
+  DispatchResult result;
+  std::vector<BackendServerName> excluded;
+  std::optional<Unknown> earlier;
+  while (result.attempts < kMaxAttempts) {
+    bool isolated = false;
+    const auto refused = WaitForAdmission(request, digest, sink, &isolated);
+    if (refused) {
+      result.outcome = NotRun{*refused};
+      LogRefusal(request, *refused);
+      break;
+    }
+    ++result.attempts;
+    const Attempt attempt =
+        Try(request, digest, sink, isolated, &excluded, &result);
+    result.outcome = attempt.outcome;
+    if (const auto* unknown = std::get_if<Unknown>(&attempt.outcome)) {
+      earlier = *unknown;
+    }
+    if (!attempt.may_retry || !TakeRetry()) break;
+    metrics_->Retried();
+  }
+  // "Not run" of the last attempt says nothing about an earlier one.
+  const bool not_run = std::holds_alternative<NotRun>(result.outcome);
+  if (not_run && earlier) result.outcome = *earlier;
+  return result;
+}
+
+void Dispatcher::OnSuspect(const SuspectNotice& notice) {
+  std::lock_guard lock(mutex_);
+  suspects_.Learn(notice, SteadyClock::now());
+}
+
+void Dispatcher::SetRetryShare(double share) {
+  std::lock_guard lock(mutex_);
+  retries_ = RetryBudget(share, kRetryReserve);
+}
+
+void Dispatcher::Expire(TimePoint now) {
+  std::lock_guard lock(mutex_);
+  suspects_.Expire(now);
+}
+
+std::optional<NotRunReason> Dispatcher::WaitForAdmission(
+    const DispatchRequest& request, ContentDigest digest,
+    const AnswerSink& sink, bool* isolated) {
+  while (true) {
+    SuspectVerdict verdict;
+    {
+      std::lock_guard lock(mutex_);
+      verdict =
+          suspects_.Admit(request.service->name, digest, SteadyClock::now());
+    }
+    *isolated = verdict == SuspectVerdict::kIsolate;
+    if (verdict == SuspectVerdict::kRefuse) {
+      return NotRunReason::kSuspectedOfCrashingServers;
+    }
+    if (verdict != SuspectVerdict::kWait) return std::nullopt;
+    if (SteadyClock::now() >= request.deadline) {
+      return NotRunReason::kQueueFull;
+    }
+    if (sink.cancelled && sink.cancelled()) return NotRunReason::kCallerGone;
+    std::this_thread::sleep_for(kSuspectPollInterval);
+  }
+}
+
+Dispatcher::Attempt Dispatcher::Try(const DispatchRequest& request,
+                                    ContentDigest digest,
+                                    const AnswerSink& sink, bool isolated,
+                                    std::vector<BackendServerName>* excluded,
+                                    DispatchResult* result) {
+  SlotNeed need;
+  need.service = request.service;
+  need.homes = request.homes;
+  need.organisation = request.organisation;
+  need.weight = request.weight;
+  need.deadline = request.deadline;
+  need.excluded = *excluded;
+  need.isolated = isolated;
+  need.cancelled = sink.cancelled;
+  SlotResult slot = slots_->Acquire(need);
+  if (const auto* not_run = std::get_if<NotRun>(&slot)) {
+    EndContent(request, digest, /*server_lost=*/false);
+    LogRefusal(request, not_run->reason);
+    return Attempt{*not_run, false};
+  }
+  auto& lease = std::get<SlotLease>(slot);
+  log_->Write(EventId::kPlaced, {{"request", request.request_id},
+                                 {"route", request.route.str()},
+                                 {"organisation", request.organisation.str()},
+                                 {"zone", lease.group().zone.str()},
+                                 {"server", lease.grant().server.str()},
+                                 {"attempt", std::to_string(result->attempts)},
+                                 {"isolated", isolated ? "yes" : "no"}});
+  const BackendResult call = CallServer(request, sink, lease);
+  lease.Release(ReportOf(call));
+  result->server = lease.grant().server;
+  result->zone = lease.group().zone;
+  result->backend_time += call.total;
+  accounts_->Count(lease.region(), request.body.size() + call.body_bytes);
+  const bool server_lost = IsServerLost(call);
+  EndContent(request, digest, server_lost);
+  if (server_lost) backend_->ForgetConnections(lease.grant().endpoint);
+  excluded->push_back(lease.grant().server);
+  if (const auto* answered = std::get_if<BackendAnswered>(&call.end)) {
+    result->status = answered->status;
+    std::lock_guard lock(mutex_);
+    retries_.OnSuccess();
+  }
+  const Outcome outcome = std::visit(OutcomeVisitor{}, call.end);
+  const bool may_retry = MayTryAgain(request, call);
+  if (may_retry) {
+    log_->Write(EventId::kPlacementRetried,
+                {{"request", request.request_id},
+                 {"server", lease.grant().server.str()},
+                 {"outcome", std::string(ToString(outcome))}});
+  }
+  return Attempt{outcome, may_retry};
+}
+
+BackendResult Dispatcher::CallServer(const DispatchRequest& request,
+                                     const AnswerSink& sink,
+                                     const SlotLease& lease) {
+  BackendRequest call;
+  call.endpoint = lease.grant().endpoint;
+  call.method = request.method;
+  call.target = request.target;
+  call.headers = request.headers;
+  call.body = request.body;
+  call.request_key = request.request_key;
+  call.request_id = request.request_id;
+  if (!MayStillCall(lease)) {
+    BackendResult late;
+    late.end = BackendNotRun{BackendNotRunReason::kNoTime};
+    return late;
+  }
+  return backend_->Call(call, sink, request.deadline);
+}
+
+bool Dispatcher::MayStillCall(const SlotLease& lease) const {
+  const TimePoint now = SteadyClock::now();
+  if (now >= lease.grant().lease_end) return false;
+  const auto snapshot = snapshots_->Get();
+  if (now - snapshot->published_at > kMaxSnapshotAge) return false;
+  const AvailabilityZone* zone =
+      snapshot->objects->FindZone(lease.group().zone);
+  return zone != nullptr && zone->in_service;
+}
+
+void Dispatcher::EndContent(const DispatchRequest& request,
+                            ContentDigest digest, bool server_lost) {
+  SuspectNotice notice;
+  {
+    std::lock_guard lock(mutex_);
+    notice = suspects_.OnEnd(request.service->name, digest, server_lost,
+                             SteadyClock::now());
+  }
+  if (notice.crashes == 0) return;
+  log_->Write(EventId::kSuspectFound,
+              {{"request", request.request_id},
+               {"service", request.service->name.str()},
+               {"crashes", std::to_string(notice.crashes)}});
+  share_(notice, request.homes);
+}
+
+bool Dispatcher::TakeRetry() {
+  std::lock_guard lock(mutex_);
+  return retries_.TryRetry();
+}
+
+void Dispatcher::LogRefusal(const DispatchRequest& request,
+                            NotRunReason reason) {
+  const EventId event = reason == NotRunReason::kSuspectedOfCrashingServers
+                            ? EventId::kSuspectRefused
+                            : EventId::kPlacementRefused;
+  log_->Write(event, {{"request", request.request_id},
+                      {"route", request.route.str()},
+                      {"organisation", request.organisation.str()},
+                      {"reason", std::string(ToString(reason))}});
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/entry/entry_host.cc
@@ -0,0 +1,302 @@
+#include "heatherlatch/entry/entry_host.h"
+
+#include <atomic>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "heatherlatch/backend/backend_client.h"
+#include "heatherlatch/entry/admin_server.h"
+#include "heatherlatch/entry/caller_server.h"
+#include "heatherlatch/entry/control_loop.h"
+#include "heatherlatch/entry/dispatcher.h"
+#include "heatherlatch/entry/executor.h"
+#include "heatherlatch/entry/forward_workers.h"
+#include "heatherlatch/entry/group_directory.h"
+#include "heatherlatch/entry/host_status.h"
+#include "heatherlatch/entry/peer_slots.h"
+#include "heatherlatch/entry/probe_runner.h"
+#include "heatherlatch/entry/request_pipeline.h"
+#include "heatherlatch/entry/slot_client.h"
+#include "heatherlatch/entry/slot_service.h"
+#include "heatherlatch/entry/traffic_accounts.h"
+
+namespace heatherlatch {
+namespace {
+
+// How long a stopping host goes on taking what the platform's balancer and
+// peers still send to it.
+constexpr auto kStopSettleTime = std::chrono::seconds(3);
+constexpr auto kTrafficTick = std::chrono::milliseconds(5);
+constexpr auto kExpiryInterval = std::chrono::seconds(1);
+constexpr int kForwardWorkers = 64;
+
+HostDescription DescriptionOf(const HostSettings& settings) {
+  std::random_device random;
+  std::uniform_int_distribution<std::uint64_t> nonces(1);
+  HostDescription self;
+  self.incarnation = HostIncarnation{settings.name, nonces(random)};
+  self.region = settings.region;
+  self.zone = settings.zone;
+  self.caller_endpoint = settings.caller_listen;
+  self.peer_endpoint = settings.peer_listen;
+  return self;
+}
+
+EventLevel LevelOf(const std::string& name) {
+  if (name == "debug") return EventLevel::kDebug;
+  if (name == "warning") return EventLevel::kWarning;
+  if (name == "error") return EventLevel::kError;
+  return EventLevel::kInfo;
+}
+
+EventLogOptions LogOptionsOf(const HostSettings& settings) {
+  EventLogOptions options;
+  options.path = settings.log_path;
+  options.level = LevelOf(settings.log_level);
+  options.routine_lines_per_second = settings.log_routine_lines_per_second;
+  return options;
+}
+
+TransportOptions TransportOptionsOf(const HostSettings& settings) {
+  TransportOptions options;
+  options.listen = settings.peer_listen;
+  options.keys = settings.peer_keys;
+  return options;
+}
+
+CallerServerOptions CallerOptionsOf(const HostSettings& settings) {
+  CallerServerOptions options;
+  options.listen = settings.caller_listen;
+  options.max_connections = 2 * settings.max_requests_in_progress;
+  return options;
+}
+
+std::shared_ptr<const HostSnapshot> FirstSnapshot(const HostDescription& self) {
+  auto view = std::make_shared<MemberView>();
+  view->self = self;
+  auto snapshot = std::make_shared<HostSnapshot>();
+  snapshot->members = view;
+  return snapshot;
+}
+
+}  // namespace
+
+class EntryHost::Impl {
+ public:
+  explicit Impl(HostSettings settings)
+      : settings_(std::move(settings)),
+        self_(DescriptionOf(settings_)),
+        log_(LogOptionsOf(settings_)),
+        snapshots_(FirstSnapshot(self_)),
+        accounts_(self_.region, &metrics_),
+        directory_(self_, &accounts_),
+        slots_(self_.incarnation, &log_),
+        transport_(self_, TransportOptionsOf(settings_), Handlers()),
+        peer_slots_(&slots_, &transport_),
+        slot_client_(self_.incarnation, &snapshots_, &directory_, &slots_,
+                     &transport_),
+        backend_(BackendClientOptions{}),
+        dispatcher_(&snapshots_, &slot_client_, &backend_, &accounts_, &log_,
+                    &metrics_,
+                    [this](const SuspectNotice& notice,
+                           const std::vector<RegionName>& homes) {
+                      ShareSuspect(notice, homes);
+                    }),
+        executor_(self_, &snapshots_, &directory_, &dispatcher_, &transport_,
+                  &log_, &metrics_),
+        pipeline_(self_, &snapshots_, &dispatcher_, &executor_, &log_,
+                  &metrics_, settings_.max_requests_in_progress),
+        forward_workers_(&pipeline_, &transport_, kForwardWorkers),
+        control_(settings_, self_, Parts()),
+        probes_(&snapshots_, &slots_, &backend_, &metrics_, &log_),
+        callers_(CallerOptionsOf(settings_), &pipeline_, &executor_,
+                 [this] { return IsReady(); }),
+        admin_(
+            settings_.admin_listen, [this] { return Status(); }, &metrics_) {}
+
+  ~Impl() { Stop(); }
+
+  Result<void> Start() {
+    started_ = true;
+    log_.Write(EventId::kProcessStarted, {{"host", ToString(self_.incarnation)},
+                                          {"zone", self_.zone.str()}});
+    BOOST_LEAF_CHECK(transport_.Start());
+    BOOST_LEAF_CHECK(admin_.Start());
+    control_.Start();
+    forward_workers_.Start();
+    probes_.Start();
+    timer_ = std::thread([this] { RunTimer(); });
+    BOOST_LEAF_CHECK(callers_.Start());
+    return {};
+  }
+
+  void Stop() {
+    if (!started_) return;
+    started_ = false;
+    log_.Write(EventId::kProcessStopping,
+               {{"in_progress", std::to_string(pipeline_.InProgress())}});
+    leaving_ = true;
+    const TimePoint deadline = SteadyClock::now() + settings_.stop_wait;
+    const TimePoint settled = SteadyClock::now() + kStopSettleTime;
+    control_.Leave(deadline);
+    std::this_thread::sleep_until(std::min(settled, deadline));
+    callers_.StopListening();
+    WaitForRequests(deadline);
+    callers_.Stop();
+    WaitForRequests(deadline);
+    forward_workers_.Stop();
+    probes_.Stop();
+    timer_stopping_ = true;
+    if (timer_.joinable()) timer_.join();
+    control_.Stop();
+    admin_.Stop();
+    transport_.Stop();
+    log_.Write(EventId::kProcessStopped,
+               {{"in_progress", std::to_string(pipeline_.InProgress())}});
+  }
+
+ private:
+  ControlParts Parts() {
+    ControlParts parts;
+    parts.snapshots = &snapshots_;
+    parts.directory = &directory_;
+    parts.slots = &slots_;
+    parts.executor = &executor_;
+    parts.dispatcher = &dispatcher_;
+    parts.accounts = &accounts_;
+    parts.transport = &transport_;
+    parts.log = &log_;
+    parts.metrics = &metrics_;
+    return parts;
+  }
+
+  TransportHandlers Handlers() {
+    TransportHandlers handlers;
+    handlers.on_link_up = [this](const HostDescription& peer) {
+      directory_.OnLinkUp(peer.incarnation);
+      control_.OnLinkUp(peer);
+    };
+    handlers.on_link_down = [this](const HostIncarnation& peer,
+                                   LinkLossReason) {
+      directory_.OnLinkDown(peer);
+      slot_client_.OnLinkDown(peer);
+      peer_slots_.OnLinkDown(peer);
+      executor_.OnLinkDown(peer);
+      control_.OnLinkDown(peer);
+    };
+    handlers.on_message = [this](const HostIncarnation& peer,
+                                 PeerMessage message) {
+      OnMessage(peer, std::move(message));
+    };
+    handlers.on_refused = [this](const Endpoint& remote, LinkLossReason,
+                                 const FrameError* error) {
+      log_.Write(EventId::kPeerRefused,
+                 {{"remote", ToString(remote)},
+                  {"problem", error == nullptr ? "" : ToString(*error)}});
+    };
+    return handlers;
+  }
+
+  // Runs on the I/O thread of the transport; nothing here blocks.
+  void OnMessage(const HostIncarnation& peer, PeerMessage message) {
+    if (const auto* acquire = std::get_if<AcquireSlot>(&message)) {
+      peer_slots_.OnAcquire(peer, *acquire);
+    } else if (const auto* granted = std::get_if<AcquireGranted>(&message)) {
+      slot_client_.OnGranted(peer, *granted);
+    } else if (const auto* refused = std::get_if<AcquireRefused>(&message)) {
+      slot_client_.OnRefused(peer, *refused);
+    } else if (const auto* release = std::get_if<ReleaseSlot>(&message)) {
+      peer_slots_.OnRelease(peer, *release);
+    } else if (const auto* cancel = std::get_if<CancelAcquire>(&message)) {
+      peer_slots_.OnCancel(peer, *cancel);
+    } else if (auto* forward = std::get_if<ForwardRequest>(&message)) {
+      forward_workers_.Add(peer, std::move(*forward));
+    } else if (auto* reply = std::get_if<ForwardReply>(&message)) {
+      executor_.OnForwardReply(peer, std::move(*reply));
+    } else {
+      control_.OnMessage(peer, message);
+    }
+  }
+
+  void ShareSuspect(const SuspectNotice& notice,
+                    const std::vector<RegionName>& homes) {
+    const auto snapshot = snapshots_.Get();
+    for (const RegionName& home : homes) {
+      for (const HostIncarnation& host :
+           snapshot->members->LiveInRegion(home)) {
+        if (host == self_.incarnation) continue;
+        transport_.Send(host, SuspectShared{notice});
+      }
+    }
+  }
+
+  // Advances what waits in traffic: leases, queues, memories.
+  void RunTimer() {
+    TimePoint next_expiry = SteadyClock::now();
+    while (!timer_stopping_) {
+      std::this_thread::sleep_for(kTrafficTick);
+      const TimePoint now = SteadyClock::now();
+      slots_.Advance(now);
+      if (now < next_expiry) continue;
+      next_expiry = now + kExpiryInterval;
+      executor_.Expire(now);
+      dispatcher_.Expire(now);
+    }
+  }
+
+  void WaitForRequests(TimePoint deadline) const {
+    while (pipeline_.InProgress() > 0 && SteadyClock::now() < deadline) {
+      std::this_thread::sleep_for(kTrafficTick);
+    }
+  }
+
+  bool IsReady() const { return !leaving_ && snapshots_.Get()->may_serve; }
+
+  std::string Status() const {
+    HostStatusInputs inputs;
+    inputs.self = self_;
+    inputs.snapshot = snapshots_.Get();
+    inputs.groups = slots_.Owned();
+    inputs.requests_in_progress = pipeline_.InProgress();
+    inputs.key_ring_majority = executor_.HasMajority(SteadyClock::now());
+    inputs.stopping = leaving_;
+    return StatusJson(inputs);
+  }
+
+  const HostSettings settings_;
+  const HostDescription self_;
+  EventLog log_;
+  Metrics metrics_;
+  SnapshotCell snapshots_;
+  TrafficAccounts accounts_;
+  GroupDirectory directory_;
+  SlotService slots_;
+  PeerTransport transport_;
+  PeerSlots peer_slots_;
+  SlotClient slot_client_;
+  BackendClient backend_;
+  Dispatcher dispatcher_;
+  Executor executor_;
+  RequestPipeline pipeline_;
+  ForwardWorkers forward_workers_;
+  ControlLoop control_;
+  ProbeRunner probes_;
+  CallerServer callers_;
+  AdminServer admin_;
+  std::thread timer_;
+  std::atomic<bool> timer_stopping_{false};
+  std::atomic<bool> leaving_{false};
+  bool started_ = false;
+};
+
+EntryHost::EntryHost(HostSettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+
+EntryHost::~EntryHost() = default;
+
+Result<void> EntryHost::Start() { return impl_->Start(); }
+
+void EntryHost::Stop() { impl_->Stop(); }
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/entry/executor.h
@@ -0,0 +1,117 @@
+// Runs requests that must not run twice.
+//
+// The executor of a request is the host incarnation that may run it: the issuer
+// of its ticket, or the owner of the caller's key in the key ring of the
+// region. Any other host forwards the request to it and passes its answer on.
+// While an answer is lost or the executor is gone the outcome is `Unknown`; no
+// other host runs the request in its place.
+//
+// Thread safety: every method may be called from any thread; `Execute` blocks.
+#ifndef HEATHERLATCH_ENTRY_EXECUTOR_H_
+#define HEATHERLATCH_ENTRY_EXECUTOR_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "heatherlatch/at_most_once/execution_log.h"
+#include "heatherlatch/at_most_once/key_ring.h"
+#include "heatherlatch/entry/dispatcher.h"
+#include "heatherlatch/entry/group_directory.h"
+#include "heatherlatch/entry/host_snapshot.h"
+#include "heatherlatch/entry/pending_calls.h"
+#include "heatherlatch/peer/transport.h"
+
+namespace heatherlatch {
+
+// A request that must not run twice.
+struct ExecutionRequest {
+  RequestKey key;
+  DispatchRequest dispatch;  // `request_key` is filled in by the executor.
+  std::string body;
+  std::function<bool()> cancelled;  // Whether the caller has gone.
+};
+
+struct ExecutionResult {
+  Outcome outcome = Unknown{UnknownReason::kAnswerLost};
+  std::shared_ptr<const StoredAnswer> answer;  // Where the outcome is `Ran`.
+  bool replayed = false;
+  Duration backend_time{};
+  std::optional<Duration> retry_after;
+};
+
+class Executor {
+ public:
+  // The pointers outlive the executor.
+  Executor(HostDescription self, const SnapshotCell* snapshots,
+           GroupDirectory* directory, Dispatcher* dispatcher,
+           PeerTransport* transport, EventLog* log, Metrics* metrics);
+
+  // Runs the request here or at its executor.
+  ExecutionResult Execute(ExecutionRequest request);
+
+  // Runs a request that a peer has forwarded. Never forwards it further.
+  ExecutionResult ExecuteForwarded(ExecutionRequest request);
+
+  // Issues tickets of this incarnation.
+  std::vector<Ticket> IssueTickets(int count);
+
+  // Delivers the answer of a peer to a forwarded request.
+  void OnForwardReply(const HostIncarnation& peer, ForwardReply reply);
+  void OnLinkDown(const HostIncarnation& peer);
+
+  // State of the key ring, driven by the control thread.
+  void SetRing(const std::vector<HostIncarnation>& members,
+               const std::vector<HostIncarnation>& listed, TimePoint now);
+  void OnSupport(const HostIncarnation& peer, std::uint64_t ring,
+                 TimePoint asked_at);
+  std::uint64_t SupportedRing(TimePoint now) const;
+  bool HasMajority(TimePoint now) const;
+  void Expire(TimePoint now);
+
+  // Stops running requests under callers' keys; they are forwarded from now on.
+  // @return after the runs in progress have ended, or `deadline`
+  void StopKeys(TimePoint deadline);
+
+  // @return the records of callers' keys, for the next owners
+  std::vector<KeyRecord> ExportKeys(TimePoint now) const;
+
+  // Takes over records of a host that stops.
+  void OnHandOver(const KeyHandOver& message, TimePoint now);
+
+ private:
+  // What to do with a request under a caller's key.
+  KeyVerdict JudgeKey(const CallerKey& key,
+                      const std::vector<RegionName>& homes,
+                      const HostSnapshot& snapshot);
+  // Runs a request under a caller's key, here or at the owner of the key.
+  ExecutionResult ExecuteKey(const ExecutionRequest& request);
+  ExecutionResult ExecuteHere(ExecutionRequest request);
+  ExecutionResult Run(const ExecutionRequest& request);
+  ExecutionResult Forward(const HostIncarnation& executor,
+                          const ExecutionRequest& request);
+  ExecutionResult AnswerOf(const BeginResult& begun) const;
+  void LogUnknown(const ExecutionRequest& request,
+                  const ExecutionResult& result) const;
+
+  const HostDescription self_;
+  const SnapshotCell* const snapshots_;
+  GroupDirectory* const directory_;
+  Dispatcher* const dispatcher_;
+  PeerTransport* const transport_;
+  EventLog* const log_;
+  Metrics* const metrics_;
+  PendingCalls<ForwardReply> calls_;
+  mutable std::mutex mutex_;  // Guards the four below.
+  ExecutionLog executions_;
+  KeyRing ring_;
+  bool keys_stopped_ = false;
+  int key_runs_ = 0;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_ENTRY_EXECUTOR_H_
--- /dev/null
+++ b/heatherlatch/entry/forward_workers.cc
@@ -0,0 +1,75 @@
+#include "heatherlatch/entry/forward_workers.h"
+
+namespace heatherlatch {
+namespace {
+
+// Requests that may wait for a thread.
+constexpr std::size_t kMaxWaiting = 512;
+
+}  // namespace
+
+ForwardWorkers::ForwardWorkers(RequestPipeline* pipeline,
+                               PeerTransport* transport, int threads)
+    : pipeline_(pipeline), transport_(transport), thread_count_(threads) {}
+
+ForwardWorkers::~ForwardWorkers() { Stop(); }
+
+void ForwardWorkers::Start() {
+  for (int i = 0; i < thread_count_; ++i) {
+    threads_.emplace_back([this] { Run(); });
+  }
+}
+
+void ForwardWorkers::Stop() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+}
+
+void ForwardWorkers::Add(const HostIncarnation& peer, ForwardRequest request) {
+  const TimePoint deadline = SteadyClock::now() + request.time_left;
+  const CallId call = request.call;
+  {
+    std::lock_guard lock(mutex_);
+    if (jobs_.size() < kMaxWaiting && !stopping_) {
+      jobs_.push_back(Job{peer, std::move(request), deadline});
+      wake_.notify_one();
+      return;
+    }
+  }
+  // The record of the key was not looked at.
+  ForwardReply reply;
+  reply.call = call;
+  reply.outcome = Unknown{UnknownReason::kRefusedUnchecked};
+  transport_->Send(peer, reply);
+}
+
+void ForwardWorkers::Run() {
+  while (true) {
+    Job job;
+    {
+      std::unique_lock lock(mutex_);
+      wake_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+      if (jobs_.empty()) return;
+      job = std::move(jobs_.front());
+      jobs_.pop_front();
+    }
+    Serve(std::move(job));
+  }
+}
+
+void ForwardWorkers::Serve(Job job) {
+  job.request.time_left = job.deadline - SteadyClock::now();
+  const ExecutionResult result = pipeline_->ServeForwarded(job.request);
+  ForwardReply reply;
+  reply.call = job.request.call;
+  reply.outcome = result.outcome;
+  reply.answer = result.answer;
+  transport_->Send(job.peer, reply);
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/entry/group_directory.cc
@@ -0,0 +1,118 @@
+#include "heatherlatch/entry/group_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "heatherlatch/placement/group_owner.h"
+
+namespace heatherlatch {
+namespace {
+
+// How long a peer that did not answer is passed over.
+constexpr auto kUnresponsiveTime = std::chrono::seconds(1);
+
+bool Contains(const std::vector<RegionName>& regions,
+              const RegionName& region) {
+  return std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+std::set<ZoneName> ZonesOf(const Service& service) {
+  std::set<ZoneName> zones;
+  for (const BackendServer& server : service.servers) {
+    zones.insert(server.zone);
+  }
+  return zones;
+}
+
+}  // namespace
+
+GroupDirectory::GroupDirectory(HostDescription self, TrafficAccounts* accounts)
+    : self_(std::move(self)), accounts_(accounts) {}
+
+void GroupDirectory::OnLinkUp(const HostIncarnation& peer) {
+  std::unique_lock lock(mutex_);
+  linked_.insert(peer);
+  unresponsive_until_.erase(peer);
+}
+
+void GroupDirectory::OnLinkDown(const HostIncarnation& peer) {
+  std::unique_lock lock(mutex_);
+  linked_.erase(peer);
+  unresponsive_until_.erase(peer);
+}
+
+void GroupDirectory::OnUnresponsive(const HostIncarnation& peer,
+                                    TimePoint now) {
+  std::unique_lock lock(mutex_);
+  unresponsive_until_[peer] = now + kUnresponsiveTime;
+}
+
+void GroupDirectory::OnLoad(const GroupId& group, const GroupLoad& load,
+                            TimePoint now) {
+  std::unique_lock lock(mutex_);
+  loads_[group] = KnownLoad{load, now};
+}
+
+bool GroupDirectory::IsLinked(const HostIncarnation& peer) const {
+  std::shared_lock lock(mutex_);
+  return linked_.count(peer) > 0;
+}
+
+std::vector<GroupRoute> GroupDirectory::Routes(
+    const HostSnapshot& snapshot, const Service& service,
+    const std::vector<RegionName>& homes, TimePoint now) const {
+  std::vector<GroupRoute> routes;
+  std::vector<GroupCandidate> candidates;
+  for (const ZoneName& zone : ZonesOf(service)) {
+    auto route = RouteTo(snapshot, GroupId{service.name, zone}, now);
+    if (!route || !Contains(homes, route->region)) continue;
+    candidates.push_back(route->candidate);
+    routes.push_back(std::move(*route));
+  }
+  std::vector<GroupRoute> ranked;
+  for (const std::size_t index : RankGroups(candidates)) {
+    ranked.push_back(std::move(routes[index]));
+  }
+  return ranked;
+}
+
+Distance GroupDirectory::DistanceTo(const AvailabilityZone& zone) const {
+  if (zone.name == self_.zone) return Distance::kSameZone;
+  if (zone.region == self_.region) return Distance::kSameRegion;
+  return Distance::kOtherRegion;
+}
+
+bool GroupDirectory::Reachable(const HostIncarnation& owner,
+                               TimePoint now) const {
+  if (owner == self_.incarnation) return true;
+  std::shared_lock lock(mutex_);
+  if (linked_.count(owner) == 0) return false;
+  const auto found = unresponsive_until_.find(owner);
+  return found == unresponsive_until_.end() || found->second <= now;
+}
+
+std::optional<GroupRoute> GroupDirectory::RouteTo(const HostSnapshot& snapshot,
+                                                  const GroupId& group,
+                                                  TimePoint now) const {
+  const AvailabilityZone* zone = snapshot.objects->FindZone(group.zone);
+  if (zone == nullptr || !zone->in_service) return std::nullopt;
+  const auto owner = GroupOwner(group, snapshot.members->LiveInZone(group.zone),
+                                snapshot.members->LiveInRegion(zone->region));
+  if (!owner) return std::nullopt;
+  GroupRoute route;
+  route.owner = *owner;
+  route.region = zone->region;
+  route.candidate.group = group;
+  route.candidate.distance = DistanceTo(*zone);
+  route.candidate.reachable = Reachable(*owner, now);
+  route.candidate.bytes_allowed = accounts_->Allows(zone->region);
+  std::shared_lock lock(mutex_);
+  const auto known = loads_.find(group);
+  if (known != loads_.end()) {
+    route.candidate.load = known->second.load;
+    route.candidate.load_age = now - known->second.reported_at;
+  }
+  return route;
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/entry/request_pipeline.cc
@@ -0,0 +1,359 @@
+#include "heatherlatch/entry/request_pipeline.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace heatherlatch {
+namespace {
+
+// A larger answer of a service of class `small` is not passed on; a service
+// with larger answers has to be of class `heavy`.
+constexpr std::size_t kMaxSmallAnswerBytes = 4 * 1024 * 1024;
+// Seconds after which a refused caller may try again.
+constexpr const char* kShortRetryAfter = "1";
+
+int StatusOfReason(NotRunReason reason) {
+  switch (reason) {
+    case NotRunReason::kMalformedRequest:
+    case NotRunReason::kUnknownOrganisation:
+      return 400;
+    case NotRunReason::kNoRoute:
+      return 404;
+    case NotRunReason::kTooLarge:
+      return 413;
+    case NotRunReason::kOutsideHomeRegions:
+      return 421;
+    case NotRunReason::kSuspectedOfCrashingServers:
+      return 422;
+    case NotRunReason::kKeyRequired:
+      return 428;
+    default:
+      return 503;
+  }
+}
+
+int StatusOfReason(UnknownReason reason) {
+  switch (reason) {
+    case UnknownReason::kStillRunning:
+    case UnknownReason::kRecordExpired:
+      return 409;
+    case UnknownReason::kDeadlineExceeded:
+      return 504;
+    default:
+      return 502;
+  }
+}
+
+std::string ReasonOf(const Outcome& outcome) {
+  if (const auto* not_run = std::get_if<NotRun>(&outcome)) {
+    return std::string(ToString(not_run->reason));
+  }
+  if (const auto* unknown = std::get_if<Unknown>(&outcome)) {
+    return std::string(ToString(unknown->reason));
+  }
+  return "";
+}
+
+bool IsStream(const RoutedRequest& routed) {
+  return routed.route->idempotent &&
+         routed.service->work_class == WorkClass::kHeavy;
+}
+
+}  // namespace
+
+int StatusOf(const Outcome& outcome) {
+  if (const auto* not_run = std::get_if<NotRun>(&outcome)) {
+    return StatusOfReason(not_run->reason);
+  }
+  if (const auto* unknown = std::get_if<Unknown>(&outcome)) {
+    return StatusOfReason(unknown->reason);
+  }
+  return 200;
+}
+
+RequestPipeline::RequestPipeline(HostDescription self,
+                                 const SnapshotCell* snapshots,
+                                 Dispatcher* dispatcher, Executor* executor,
+                                 EventLog* log, Metrics* metrics,
+                                 int max_in_progress)
+    : self_(std::move(self)),
+      snapshots_(snapshots),
+      dispatcher_(dispatcher),
+      executor_(executor),
+      log_(log),
+      metrics_(metrics),
+      max_in_progress_(max_in_progress) {}
+
+RequestPipeline::Start RequestPipeline::Begin(const CallerRequest& request) {
+  const ProgressGuard guard(&in_progress_);
+  if (in_progress_.load() > max_in_progress_) {
+    metrics_->RequestRefused(NotRunReason::kQueueFull);
+    return RefuseUnchecked(NotRunReason::kQueueFull,
+                           "this host serves as many requests as it may",
+                           request);
+  }
+  RoutingVerdict verdict =
+      RouteRequest(snapshots_->Get(), self_.region, request, NewRequestId());
+  if (const auto* refusal = std::get_if<RoutingRefusal>(&verdict)) {
+    return Refusal(*refusal, request);
+  }
+  auto& routed = std::get<RoutedRequest>(verdict);
+  if (IsStream(routed)) {
+    // Downloads leave half of the host to small requests.
+    if (streams_in_progress_.load() < max_in_progress_ / 2) {
+      return std::move(routed);
+    }
+    const Outcome outcome = NotRun{NotRunReason::kQueueFull};
+    Record(routed, request, outcome, Duration());
+    return AnswerWithout(outcome,
+                         "this host serves as many downloads as it may");
+  }
+  if (routed.key) return ServeOnce(routed, request);
+  return ServeWhole(routed, request);
+}
+
+CallerAnswer RequestPipeline::Refuse(const CallerRequest& request,
+                                     NotRunReason reason,
+                                     const std::string& explanation) {
+  RoutingRefusal refusal;
+  refusal.reason = reason;
+  refusal.explanation = explanation;
+  refusal.request_id = NewRequestId();
+  return Refusal(refusal, request);
+}
+
+CallerAnswer RequestPipeline::ServeWhole(const RoutedRequest& routed,
+                                         const CallerRequest& request) {
+  CallerAnswer answer;
+  AnswerSink sink;
+  sink.on_head = [&](const AnswerHead& head) {
+    answer.status = head.status;
+    answer.headers = head.headers;
+    return head.content_length.value_or(0) <= kMaxSmallAnswerBytes;
+  };
+  sink.on_data = [&](std::string_view data) {
+    answer.body.append(data);
+    return answer.body.size() <= kMaxSmallAnswerBytes;
+  };
+  sink.cancelled = request.cancelled;
+  const DispatchResult result =
+      dispatcher_->Dispatch(DispatchOf(routed, request), sink);
+  Record(routed, request, result.outcome, result.backend_time);
+  if (!std::holds_alternative<Ran>(result.outcome)) {
+    return AnswerWithout(result.outcome, "the request was not answered");
+  }
+  answer.headers.emplace_back(caller_header::kServer, result.server.str());
+  answer.headers.emplace_back(caller_header::kZone, result.zone.str());
+  Sign(&answer.headers, result.outcome);
+  return answer;
+}
+
+CallerAnswer RequestPipeline::ServeOnce(const RoutedRequest& routed,
+                                        const CallerRequest& request) {
+  ExecutionRequest execution;
+  execution.key = *routed.key;
+  execution.dispatch = DispatchOf(routed, request);
+  execution.body = request.body;
+  execution.cancelled = request.cancelled;
+  const ExecutionResult result = executor_->Execute(std::move(execution));
+  Record(routed, request, result.outcome, result.backend_time);
+  if (!std::holds_alternative<Ran>(result.outcome)) {
+    CallerAnswer answer =
+        AnswerWithout(result.outcome, "the request has no known answer");
+    if (result.retry_after) {
+      const auto seconds =
+          std::chrono::ceil<std::chrono::seconds>(*result.retry_after);
+      answer.headers.emplace_back(caller_header::kRetryAfter,
+                                  std::to_string(seconds.count()));
+    }
+    return answer;
+  }
+  CallerAnswer answer;
+  answer.status = result.answer->status;
+  answer.headers = result.answer->headers;
+  answer.body = result.answer->body;
+  if (result.replayed) {
+    answer.headers.emplace_back(caller_header::kReplayed, "true");
+    log_->Write(EventId::kRequestReplayed, {{"request", routed.request_id}});
+  }
+  Sign(&answer.headers, result.outcome);
+  return answer;
+}
+
+void RequestPipeline::Stream(const RoutedRequest& routed,
+                             const CallerRequest& request, AnswerPipe* pipe) {
+  const ProgressGuard guard(&in_progress_);
+  const ProgressGuard stream_guard(&streams_in_progress_);
+  AnswerSink sink;
+  sink.on_head = [&](const AnswerHead& head) {
+    StreamHead start{head.status, head.headers, head.content_length};
+    Sign(&start.headers, Ran{});
+    pipe->Start(std::move(start));
+    return true;
+  };
+  sink.on_data = [&](std::string_view data) { return pipe->Write(data); };
+  sink.cancelled = [&] {
+    return pipe->ReaderGone() || (request.cancelled && request.cancelled());
+  };
+  const DispatchResult result =
+      dispatcher_->Dispatch(DispatchOf(routed, request), sink);
+  Record(routed, request, result.outcome, result.backend_time);
+  const bool whole = std::holds_alternative<Ran>(result.outcome);
+  if (!whole) {
+    // Has no effect where the head has already been given.
+    pipe->Start(AnswerWithout(result.outcome, "the download was not started"));
+  }
+  pipe->End(whole);
+}
+
+ExecutionResult RequestPipeline::ServeForwarded(const ForwardRequest& message) {
+  const ProgressGuard guard(&in_progress_);
+  CallerRequest request;
+  request.method = message.method;
+  request.target = message.target;
+  request.headers = message.headers;
+  request.body = message.body;
+  request.arrived = SteadyClock::now();
+  request.headers.emplace_back(caller_header::kOrganisation,
+                               message.organisation.str());
+  if (const auto* ticket = std::get_if<Ticket>(&message.key)) {
+    request.headers.emplace_back(caller_header::kTicket, ToString(*ticket));
+  } else {
+    request.headers.emplace_back(caller_header::kIdempotencyKey,
+                                 std::get<CallerKey>(message.key).key);
+  }
+  RoutingVerdict verdict =
+      RouteRequest(snapshots_->Get(), self_.region, request, NewRequestId());
+  ExecutionResult result;
+  if (const auto* refusal = std::get_if<RoutingRefusal>(&verdict)) {
+    log_->Write(EventId::kCallerRequestRefused,
+                {{"request", refusal->request_id},
+                 {"reason", std::string(ToString(refusal->reason))},
+                 {"detail", refusal->explanation}});
+    result.outcome = Unknown{UnknownReason::kRefusedUnchecked};
+    return result;
+  }
+  auto& routed = std::get<RoutedRequest>(verdict);
+  routed.deadline =
+      std::min(routed.deadline, request.arrived + message.time_left);
+  ExecutionRequest execution;
+  execution.key = message.key;
+  execution.dispatch = DispatchOf(routed, request);
+  execution.body = request.body;
+  return executor_->ExecuteForwarded(std::move(execution));
+}
+
+DispatchRequest RequestPipeline::DispatchOf(
+    const RoutedRequest& routed, const CallerRequest& request) const {
+  DispatchRequest dispatch;
+  dispatch.request_id = routed.request_id;
+  dispatch.method = request.method;
+  dispatch.target = request.target;
+  dispatch.headers = ForwardedHeaders(request.headers);
+  dispatch.body = request.body;
+  dispatch.route = routed.route->name;
+  dispatch.service = routed.service;
+  dispatch.homes = routed.homes;
+  dispatch.organisation = routed.organisation->name;
+  dispatch.weight = routed.organisation->weight;
+  dispatch.idempotent = routed.route->idempotent;
+  dispatch.deadline = routed.deadline;
+  return dispatch;
+}
+
+CallerAnswer RequestPipeline::Refusal(const RoutingRefusal& refusal,
+                                      const CallerRequest& request) const {
+  metrics_->RequestRefused(refusal.reason);
+  log_->Write(EventId::kCallerRequestRefused,
+              {{"request", refusal.request_id},
+               {"reason", std::string(ToString(refusal.reason))},
+               {"detail", refusal.explanation}});
+  CallerAnswer answer =
+      refusal.may_have_run_before
+          ? RefuseUnchecked(refusal.reason, refusal.explanation, request)
+          : AnswerWithout(NotRun{refusal.reason}, refusal.explanation);
+  std::string homes;
+  for (const RegionName& home : refusal.homes) {
+    homes += (homes.empty() ? "" : ", ") + home.str();
+  }
+  if (!homes.empty()) {
+    answer.headers.emplace_back("Heatherlatch-Home-Regions", homes);
+  }
+  return answer;
+}
+
+CallerAnswer RequestPipeline::AnswerWithout(
+    const Outcome& outcome, const std::string& explanation) const {
+  return BuildAnswer(outcome, outcome, explanation);
+}
+
+CallerAnswer RequestPipeline::RefuseUnchecked(
+    NotRunReason reason, const std::string& explanation,
+    const CallerRequest& request) const {
+  const bool has_key =
+      FindHeader(request.headers, caller_header::kTicket).has_value() ||
+      FindHeader(request.headers, caller_header::kIdempotencyKey).has_value();
+  const Outcome refusal = NotRun{reason};
+  if (!has_key) return BuildAnswer(refusal, refusal, explanation);
+  return BuildAnswer(Unknown{UnknownReason::kRefusedUnchecked}, refusal,
+                     explanation);
+}
+
+CallerAnswer RequestPipeline::BuildAnswer(
+    const Outcome& outcome, const Outcome& shown,
+    const std::string& explanation) const {
+  CallerAnswer answer;
+  answer.status = StatusOf(shown);
+  const std::string reason = ReasonOf(shown);
+  const nlohmann::json body = {{"outcome", ToString(outcome)},
+                               {"reason", reason},
+                               {"explanation", explanation}};
+  answer.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      "\n";
+  answer.headers.emplace_back("Content-Type", "application/json");
+  answer.headers.emplace_back(caller_header::kReason, reason);
+  if (answer.status == 503) {
+    answer.headers.emplace_back(caller_header::kRetryAfter, kShortRetryAfter);
+  }
+  Sign(&answer.headers, outcome);
+  return answer;
+}
+
+void RequestPipeline::Sign(HeaderList* headers, const Outcome& outcome) const {
+  headers->emplace_back(caller_header::kOutcome, ToString(outcome));
+  headers->emplace_back(caller_header::kHost, self_.incarnation.host.str());
+}
+
+void RequestPipeline::Record(const RoutedRequest& routed,
+                             const CallerRequest& request,
+                             const Outcome& outcome, Duration backend_time) {
+  const Duration total = SteadyClock::now() - request.arrived;
+  metrics_->RequestEnded(routed.service->name, outcome, total,
+                         total - backend_time);
+  if (const auto* not_run = std::get_if<NotRun>(&outcome)) {
+    metrics_->RequestRefused(not_run->reason);
+    if (not_run->reason == NotRunReason::kCallerGone) {
+      log_->Write(EventId::kCallerGone, {{"request", routed.request_id}});
+    }
+  }
+  if (!log_->Enabled(EventId::kRequestEnded)) return;
+  log_->Write(EventId::kRequestEnded,
+              {{"request", routed.request_id},
+               {"route", routed.route->name.str()},
+               {"outcome", std::string(ToString(outcome))},
+               {"reason", ReasonOf(outcome)},
+               {"total_ms", std::to_string(ToMilliseconds(total))}});
+}
+
+std::string RequestPipeline::NewRequestId() {
+  char text[40];
+  std::snprintf(text, sizeof(text), "%08x-%llu",
+                static_cast<unsigned>(self_.incarnation.nonce),
+                static_cast<unsigned long long>(  // NOLINT(google-runtime-int)
+                    next_request_.fetch_add(1)));
+  return text;
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/entry/traffic_accounts.cc
@@ -0,0 +1,53 @@
+#include "heatherlatch/entry/traffic_accounts.h"
+
+#include <utility>
+
+#include "heatherlatch/base/time.h"
+
+namespace heatherlatch {
+namespace {
+
+// Budget before the first set of objects is in force: 10 Mbit/s.
+constexpr double kFirstBytesPerSecond = 1.25e6;
+// A budget may save up the bytes of this long.
+constexpr double kBurstSeconds = 1.0;
+
+}  // namespace
+
+TrafficAccounts::TrafficAccounts(RegionName own, Metrics* metrics)
+    : own_(std::move(own)),
+      metrics_(metrics),
+      bytes_per_second_(kFirstBytesPerSecond) {}
+
+void TrafficAccounts::SetBudget(double bytes_per_second) {
+  const TimePoint now = SteadyClock::now();
+  std::lock_guard lock(mutex_);
+  if (bytes_per_second == bytes_per_second_) return;
+  bytes_per_second_ = bytes_per_second;
+  for (auto& [region, budget] : budgets_) {
+    budget.SetRate(bytes_per_second, bytes_per_second * kBurstSeconds, now);
+  }
+}
+
+void TrafficAccounts::Count(const RegionName& region, std::uint64_t bytes) {
+  if (region == own_) return;
+  metrics_->CrossRegionBytes(own_.str(), region.str(), bytes);
+  std::lock_guard lock(mutex_);
+  BudgetFor(region)->Spend(static_cast<double>(bytes), SteadyClock::now());
+}
+
+bool TrafficAccounts::Allows(const RegionName& region) {
+  if (region == own_) return true;
+  std::lock_guard lock(mutex_);
+  return BudgetFor(region)->HasRoom(SteadyClock::now());
+}
+
+TokenBudget* TrafficAccounts::BudgetFor(const RegionName& region) {
+  const auto found = budgets_.find(region);
+  if (found != budgets_.end()) return &found->second;
+  const TokenBudget budget(bytes_per_second_, bytes_per_second_ * kBurstSeconds,
+                           SteadyClock::now());
+  return &budgets_.emplace(region, budget).first->second;
+}
+
+}  // namespace heatherlatch
