Add the first version of slot scheduling for a server group

Cause: executors need exact slots of the backend servers of a group, and the entry program needs something to link against.

--- /dev/null
+++ b/heatherlatch/placement/group_scheduler.cc
@@ -0,0 +1,500 @@
+#include "heatherlatch/placement/group_scheduler.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "heatherlatch/placement/internal/server_pool.h"
+#include "heatherlatch/placement/internal/server_record.h"
+#include "heatherlatch/placement/internal/waiting_line.h"
+
+namespace heatherlatch {
+namespace {
+
+// Isolated requests occupy at most one of this many servers at a time.
+constexpr int kServersForEachIsolatedOne = 4;
+
+// How long a late report on a grant that ended by its lease still counts.
+constexpr Duration kLateReportMemory = std::chrono::seconds(30);
+
+using Decisions = std::vector<SlotDecision>;
+
+GroupOptions Checked(GroupOptions options) {
+  options.slots_per_server = std::max(options.slots_per_server, 1);
+  options.cold_start_slots =
+      std::clamp(options.cold_start_slots, 1, options.slots_per_server);
+  return options;
+}
+
+TimePoint LeaseEnd(TimePoint deadline, Duration grace) {
+  return deadline > TimePoint::max() - grace ? TimePoint::max()
+                                             : deadline + grace;
+}
+
+WaiterId WaiterOf(const SlotDecision& decision) {
+  return std::visit([](const auto& answer) { return answer.waiter; }, decision);
+}
+
+AcquireResult ToAcquireResult(const SlotDecision& decision) {
+  return std::visit([](const auto& answer) { return AcquireResult(answer); },
+                    decision);
+}
+
+}  // namespace
+
+class GroupScheduler::State {
+ public:
+  State(const GroupOptions& options, TimePoint now)
+      : options_(Checked(options)),
+        pool_(options_),
+        line_(options_.max_waiting, options_.slots_per_server),
+        ordinary_since_isolated_(options_.slots_per_server),
+        now_(now) {}
+
+  Decisions SetServers(const std::vector<GroupServer>& servers, TimePoint now);
+  AcquireResult Acquire(const SlotRequest& request, TimePoint now);
+  void Cancel(WaiterId waiter);
+  Decisions Release(GrantId grant, const CallReport& report, TimePoint now);
+  Decisions ReportServer(const BackendServerName& server, bool accepts_work,
+                         bool cold, std::optional<std::uint64_t> boot_id,
+                         TimePoint now);
+  Decisions Advance(TimePoint now);
+  std::optional<TimePoint> NextDeadline() const;
+  GroupLoad Load() const;
+  std::vector<std::pair<BackendServerName, int>> Limits() const {
+    return pool_.Limits();
+  }
+
+ private:
+  struct RunningGrant {
+    ServerRecord* server;
+    TimePoint granted_at;
+    TimePoint lease_end;
+    bool isolated;
+  };
+  // A grant that ended by its lease.
+  struct LostGrant {
+    BackendServerName server;
+    TimePoint granted_at;
+    TimePoint forget_at;
+  };
+
+  // @return the decisions made since the last call that could return any
+  Decisions TakeDecisions() { return std::exchange(undelivered_, {}); }
+
+  std::optional<NotRunReason> RefusalOf(const SlotRequest& request,
+                                        TimePoint now) const;
+  bool MeetsDeadline(const SlotRequest& request, TimePoint start) const;
+  Duration ExpectedWait(const SlotRequest& request) const;
+  AcquireResult Enqueue(const SlotRequest& request, TimePoint now);
+
+  Grant MakeGrant(const SlotRequest& request, ServerRecord* server,
+                  TimePoint now);
+  void GrantWaiter(WaiterId waiter, ServerRecord* server, TimePoint now);
+  void Refuse(WaiterId waiter, NotRunReason reason);
+  void RefuseUnservable();
+
+  void Dispatch(TimePoint now);
+  bool ServeParked(TimePoint now);
+  bool ServeFair(TimePoint now);
+  void ServeIsolated(TimePoint now);
+  bool IsolatedTurn() const;
+  void Reserve(ServerRecord* server);
+
+  void TakeReport(ServerRecord* server, const CallReport& report, bool trial,
+                  TimePoint granted_at, TimePoint now);
+  void LearnUsual(const ServerRecord& server, const CallReport& report,
+                  TimePoint granted_at, TimePoint now);
+  ServerRecord* EndGrant(GrantId id);
+  void EndLeases(TimePoint now);
+  void ForgetLostGrants(TimePoint now);
+
+  GroupOptions options_;
+  ServerPool pool_;
+  WaitingLine line_;
+  std::unordered_map<GrantId, RunningGrant> grants_;
+  std::set<std::pair<TimePoint, GrantId>> leases_;
+  std::unordered_map<GrantId, LostGrant> lost_grants_;
+  std::set<std::pair<TimePoint, GrantId>> lost_until_;
+  GrantId next_grant_ = 1;
+  // Server that is kept free for the first isolated request.
+  std::optional<BackendServerName> reserved_;
+  int running_isolated_ = 0;
+  // Grants since the last isolated one; it bounds the turn of isolated work.
+  int ordinary_since_isolated_;
+  Decisions undelivered_;
+  bool dispatch_due_ = false;  // `Cancel` has freed a server.
+  TimePoint now_;              // Latest time seen.
+};
+
+Decisions GroupScheduler::State::SetServers(
+    const std::vector<GroupServer>& servers, TimePoint now) {
+  pool_.SetServers(servers, now);
+  Dispatch(now);
+  return TakeDecisions();
+}
+
+// ---------------------------------------------------------------------------
+// Requests
+
+bool GroupScheduler::State::MeetsDeadline(const SlotRequest& request,
+                                          TimePoint start) const {
+  return start + pool_.usual().mean_service_time() < request.deadline;
+}
+
+// The time in which the group, at its present rate, serves what is ahead of the
+// request.
+Duration GroupScheduler::State::ExpectedWait(const SlotRequest& request) const {
+  const std::size_t ahead = line_.AheadOf(request.organisation, request.weight);
+  const int slots = std::max(pool_.usable_slots(), 1);
+  return pool_.usual().mean_held() * static_cast<int>(ahead + 1) / slots;
+}
+
+std::optional<NotRunReason> GroupScheduler::State::RefusalOf(
+    const SlotRequest& request, TimePoint now) const {
+  if (request.deadline <= now) return NotRunReason::kDeadlineTooShort;
+  if (!pool_.CanServe(request.excluded)) return NotRunReason::kNoServer;
+  return std::nullopt;
+}
+
+AcquireResult GroupScheduler::State::Acquire(const SlotRequest& request,
+                                             TimePoint now) {
+  if (line_.Contains(request.waiter)) return SlotQueued{request.waiter};
+  if (dispatch_due_) Dispatch(now);
+  now_ = std::max(now_, now);
+  if (const auto reason = RefusalOf(request, now)) {
+    return SlotRefused{request.waiter, *reason};
+  }
+  if (!request.isolated) {
+    ServerRecord* server = pool_.PickFree(request.excluded, now);
+    if (server != nullptr) {
+      return SlotGranted{request.waiter, MakeGrant(request, server, now)};
+    }
+  }
+  return Enqueue(request, now);
+}
+
+AcquireResult GroupScheduler::State::Enqueue(const SlotRequest& request,
+                                             TimePoint now) {
+  if (!line_.HasRoom(request.organisation)) {
+    return SlotRefused{request.waiter, NotRunReason::kQueueFull};
+  }
+  if (!MeetsDeadline(request, now + ExpectedWait(request))) {
+    return SlotRefused{request.waiter, NotRunReason::kDeadlineTooShort};
+  }
+  line_.Add(request);
+  if (!request.isolated) return SlotQueued{request.waiter};
+  Dispatch(now);
+  const auto answer = std::find_if(undelivered_.begin(), undelivered_.end(),
+                                   [&request](const SlotDecision& d) {
+                                     return WaiterOf(d) == request.waiter;
+                                   });
+  if (answer == undelivered_.end()) return SlotQueued{request.waiter};
+  AcquireResult result = ToAcquireResult(*answer);
+  undelivered_.erase(answer);
+  return result;
+}
+
+void GroupScheduler::State::Cancel(WaiterId waiter) {
+  if (!line_.Remove(waiter)) return;
+  if (reserved_ && !line_.IsolatedFront()) dispatch_due_ = true;
+}
+
+Grant GroupScheduler::State::MakeGrant(const SlotRequest& request,
+                                       ServerRecord* server, TimePoint now) {
+  const GrantId id = next_grant_++;
+  const TimePoint lease_end = LeaseEnd(request.deadline, options_.lease_grace);
+  grants_.emplace(id, RunningGrant{server, now, lease_end, request.isolated});
+  leases_.emplace(lease_end, id);
+  server->Begin(id, request.isolated, now);
+  pool_.Update(server);
+  if (request.isolated) {
+    ++running_isolated_;
+    ordinary_since_isolated_ = 0;
+  } else {
+    ++ordinary_since_isolated_;
+  }
+  return Grant{id, server->name(), server->endpoint(), lease_end};
+}
+
+void GroupScheduler::State::GrantWaiter(WaiterId waiter, ServerRecord* server,
+                                        TimePoint now) {
+  const SlotRequest request = line_.Take(waiter);
+  undelivered_.push_back(SlotGranted{waiter, MakeGrant(request, server, now)});
+}
+
+void GroupScheduler::State::Refuse(WaiterId waiter, NotRunReason reason) {
+  line_.Remove(waiter);
+  undelivered_.push_back(SlotRefused{waiter, reason});
+}
+
+// Refuses requests that no server of the group can serve any more, so that
+// their holders can ask another group.
+void GroupScheduler::State::RefuseUnservable() {
+  if (!pool_.TakeLostServer()) return;
+  const std::vector<WaiterId> unservable =
+      line_.Select([this](const SlotRequest& request) {
+        return !pool_.CanServe(request.excluded);
+      });
+  for (const WaiterId waiter : unservable) {
+    Refuse(waiter, NotRunReason::kNoServer);
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Dispatch
+
+// Grants free slots until none is left that a waiting request can use.
+void GroupScheduler::State::Dispatch(TimePoint now) {
+  now_ = std::max(now_, now);
+  dispatch_due_ = false;
+  RefuseUnservable();
+  bool served = true;
+  while (served) {
+    ServeIsolated(now);
+    served = ServeParked(now) || ServeFair(now);
+  }
+}
+
+bool GroupScheduler::State::ServeParked(TimePoint now) {
+  if (!pool_.has_free_slot()) return false;
+  const auto waiter =
+      line_.FindParked([this, now](const ExcludedServers& excluded) {
+        return pool_.PickFree(excluded, now) != nullptr;
+      });
+  if (!waiter) return false;
+  GrantWaiter(*waiter, pool_.PickFree(line_.Get(*waiter).excluded, now), now);
+  return true;
+}
+
+bool GroupScheduler::State::ServeFair(TimePoint now) {
+  const std::optional<WaiterId> waiter = line_.FairFront();
+  if (!waiter) return false;
+  const SlotRequest& request = line_.Get(*waiter);
+  if (request.isolated) {
+    line_.AwaitIsolation(*waiter);
+    return true;
+  }
+  if (!pool_.has_free_slot()) return false;
+  if (!MeetsDeadline(request, now)) {
+    Refuse(*waiter, NotRunReason::kDeadlineTooShort);
+    return true;
+  }
+  ServerRecord* server = pool_.PickFree(request.excluded, now);
+  if (server != nullptr) {
+    GrantWaiter(*waiter, server, now);
+    return true;
+  }
+  if (!pool_.has_free_slot()) return false;
+  line_.Park(*waiter);
+  return true;
+}
+
+// Isolated and other work take turns, so neither starves: after an isolated
+// request, as many others as a server has slots go first if they wait.
+bool GroupScheduler::State::IsolatedTurn() const {
+  const int most = std::max(1, pool_.accepting() / kServersForEachIsolatedOne);
+  if (running_isolated_ >= most) return false;
+  return line_.fair_size() == 0 ||
+         ordinary_since_isolated_ >= options_.slots_per_server;
+}
+
+void GroupScheduler::State::Reserve(ServerRecord* server) {
+  ServerRecord* former = reserved_ ? pool_.Find(*reserved_) : nullptr;
+  if (former == server) return;
+  reserved_.reset();
+  if (former != nullptr) {
+    former->SetReserved(false);
+    pool_.Update(former);
+  }
+  if (server == nullptr) return;
+  reserved_ = server->name();
+  server->SetReserved(true);
+  pool_.Update(server);
+}
+
+void GroupScheduler::State::ServeIsolated(TimePoint now) {
+  while (const std::optional<WaiterId> waiter = line_.IsolatedFront()) {
+    if (!IsolatedTurn()) break;
+    Reserve(pool_.PickForIsolation(line_.Get(*waiter).excluded));
+    ServerRecord* server = reserved_ ? pool_.Find(*reserved_) : nullptr;
+    if (server == nullptr || server->granted() > 0) return;
+    Reserve(nullptr);
+    GrantWaiter(*waiter, server, now);
+  }
+  Reserve(nullptr);
+}
+
+// ---------------------------------------------------------------------------
+// Grants
+
+// Takes a grant out of the books.
+// @return its server
+ServerRecord* GroupScheduler::State::EndGrant(GrantId id) {
+  const auto found = grants_.find(id);
+  ServerRecord* server = found->second.server;
+  leases_.erase({found->second.lease_end, id});
+  running_isolated_ -= found->second.isolated ? 1 : 0;
+  grants_.erase(found);
+  server->End(id);
+  return server;
+}
+
+void GroupScheduler::State::LearnUsual(const ServerRecord& server,
+                                       const CallReport& report,
+                                       TimePoint granted_at, TimePoint now) {
+  if (server.LeftAsSlow() || report.end != CallEnd::kAnswered) return;
+  pool_.usual().AddAnswer(report.service_time);
+  pool_.usual().AddHeld(now - granted_at);
+}
+
+void GroupScheduler::State::TakeReport(ServerRecord* server,
+                                       const CallReport& report, bool trial,
+                                       TimePoint granted_at, TimePoint now) {
+  server->OnReport(report, trial, granted_at, pool_.usual(), now);
+  LearnUsual(*server, report, granted_at, now);
+  if (server->ProvenSlow() && pool_.MayLeaveSlowServer()) {
+    server->LeaveAsSlow(now);
+  }
+  pool_.Update(server);
+}
+
+Decisions GroupScheduler::State::Release(GrantId grant,
+                                         const CallReport& report,
+                                         TimePoint now) {
+  const auto running = grants_.find(grant);
+  const auto lost = lost_grants_.find(grant);
+  if (running != grants_.end()) {
+    const TimePoint granted_at = running->second.granted_at;
+    const bool trial = running->second.server->IsTrial(grant);
+    ServerRecord* server = EndGrant(grant);
+    TakeReport(server, report, trial, granted_at, now);
+  } else if (lost != lost_grants_.end()) {
+    ServerRecord* server = pool_.Find(lost->second.server);
+    if (server != nullptr) {
+      TakeReport(server, report, false, lost->second.granted_at, now);
+    }
+    lost_until_.erase({lost->second.forget_at, grant});
+    lost_grants_.erase(lost);
+  }
+  Dispatch(now);
+  return TakeDecisions();
+}
+
+Decisions GroupScheduler::State::ReportServer(
+    const BackendServerName& server, bool accepts_work, bool cold,
+    std::optional<std::uint64_t> boot_id, TimePoint now) {
+  ServerRecord* record = pool_.Find(server);
+  if (record != nullptr) {
+    record->OnSigns(accepts_work, cold, boot_id, now);
+    pool_.Update(record);
+  }
+  Dispatch(now);
+  return TakeDecisions();
+}
+
+// ---------------------------------------------------------------------------
+// Time
+
+void GroupScheduler::State::EndLeases(TimePoint now) {
+  while (!leases_.empty() && leases_.begin()->first <= now) {
+    const GrantId id = leases_.begin()->second;
+    const RunningGrant grant = grants_.at(id);
+    const bool trial = grant.server->IsTrial(id);
+    const TimePoint forget_at = now + kLateReportMemory;
+    lost_grants_.emplace(
+        id, LostGrant{grant.server->name(), grant.granted_at, forget_at});
+    lost_until_.emplace(forget_at, id);
+    ServerRecord* server = EndGrant(id);
+    server->OnLeaseEnd(trial, now);
+    pool_.Update(server);
+  }
+}
+
+void GroupScheduler::State::ForgetLostGrants(TimePoint now) {
+  while (!lost_until_.empty() && lost_until_.begin()->first <= now) {
+    lost_grants_.erase(lost_until_.begin()->second);
+    lost_until_.erase(lost_until_.begin());
+  }
+}
+
+Decisions GroupScheduler::State::Advance(TimePoint now) {
+  pool_.Advance(now);
+  EndLeases(now);
+  ForgetLostGrants(now);
+  while (const auto first = line_.FirstDeadline()) {
+    if (first->first > now) break;
+    Refuse(first->second, NotRunReason::kDeadlineTooShort);
+  }
+  Dispatch(now);
+  return TakeDecisions();
+}
+
+std::optional<TimePoint> GroupScheduler::State::NextDeadline() const {
+  if (dispatch_due_ || !undelivered_.empty()) return now_;
+  std::optional<TimePoint> next = pool_.NextTrial();
+  const auto take = [&next](TimePoint time) {
+    if (!next || time < *next) next = time;
+  };
+  if (!leases_.empty()) take(leases_.begin()->first);
+  if (const auto first = line_.FirstDeadline()) take(first->first);
+  return next;
+}
+
+GroupLoad GroupScheduler::State::Load() const {
+  GroupLoad load;
+  load.usable_slots = pool_.usable_slots();
+  load.granted = static_cast<int>(grants_.size());
+  load.waiting = static_cast<int>(line_.size());
+  load.mean_service_time = pool_.usual().mean_held();
+  return load;
+}
+
+// ---------------------------------------------------------------------------
+
+GroupScheduler::GroupScheduler(GroupOptions options, TimePoint now)
+    : state_(std::make_unique<State>(options, now)) {}
+GroupScheduler::~GroupScheduler() = default;
+GroupScheduler::GroupScheduler(GroupScheduler&&) noexcept = default;
+GroupScheduler& GroupScheduler::operator=(GroupScheduler&&) noexcept = default;
+
+std::vector<SlotDecision> GroupScheduler::SetServers(
+    const std::vector<GroupServer>& servers, TimePoint now) {
+  return state_->SetServers(servers, now);
+}
+
+AcquireResult GroupScheduler::Acquire(const SlotRequest& request,
+                                      TimePoint now) {
+  return state_->Acquire(request, now);
+}
+
+void GroupScheduler::Cancel(WaiterId waiter) { state_->Cancel(waiter); }
+
+std::vector<SlotDecision> GroupScheduler::Release(GrantId grant,
+                                                  const CallReport& report,
+                                                  TimePoint now) {
+  return state_->Release(grant, report, now);
+}
+
+std::vector<SlotDecision> GroupScheduler::ReportServer(
+    const BackendServerName& server, bool accepts_work, bool cold,
+    std::optional<std::uint64_t> boot_id, TimePoint now) {
+  return state_->ReportServer(server, accepts_work, cold, boot_id, now);
+}
+
+std::vector<SlotDecision> GroupScheduler::Advance(TimePoint now) {
+  return state_->Advance(now);
+}
+
+std::optional<TimePoint> GroupScheduler::NextDeadline() const {
+  return state_->NextDeadline();
+}
+
+GroupLoad GroupScheduler::Load() const { return state_->Load(); }
+
+std::vector<std::pair<BackendServerName, int>> GroupScheduler::Limits() const {
+  return state_->Limits();
+}
+
+}  // namespace heatherlatch
