Read and check objects and host settings; write events and metrics

Cause: every other part links these libraries. Change: heatherlatch/yaml holds the findings and the field reader that objects and settings share. objects, settings and telemetry follow their headers; the findings moved from objects/check.h to yaml/finding.h, which check.h includes. EventId gains kLogFileNotOpened. FindRoute matches no path with a dot segment, plain or percent-encoded. Ruled out: an easylogging++ file logger on /dev/stderr, which cannot be opened where standard error is a socket; a dispatch callback writes there instead.

--- a/heatherlatch/objects/check.h
+++ b/heatherlatch/objects/check.h
@@ -11,37 +11,19 @@
 #define HEATHERLATCH_OBJECTS_CHECK_H_
 
 #include <memory>
-#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "heatherlatch/objects/object_set.h"
+#include "heatherlatch/yaml/finding.h"
 
 namespace heatherlatch {
 
-enum class FindingKind {
-  kSyntax,
-  kUnknownKey,
-  kMissingField,
-  kWrongType,
-  kOutOfRange,
-  kDuplicateName,
-  kBrokenReference,
-  kContradiction,
-};
-
-struct Finding {
-  FindingKind kind = FindingKind::kSyntax;
-  int line = 0;         // From 1; 0 where none applies.
-  std::string object;   // Such as `route "tally"`; empty for the whole set.
-  std::string field;    // Such as `service`; empty for the whole object.
-  std::string problem;  // Such as `service "x" does not exist`.
-  std::string remedy;   // Such as `did you mean "tally-reads"?`; may be empty.
-};
-
-// @return "line 12: route "tally", field service: ... (remedy)"
-std::string ToString(const Finding& finding);
+// The longest time for which a request that is not idempotent may be repeated
+// or still be running: its resend window plus its deadline. An entry host keeps
+// the record of a key longer than this.
+inline constexpr Duration kMaxKeyLifetime = std::chrono::seconds(40);
 
 // @param yaml      the document
 // @param revision  the revision to store in the set
--- a/heatherlatch/objects/object_set.h
+++ b/heatherlatch/objects/object_set.h
@@ -1,6 +1,6 @@
 // The published objects that operators write, as one immutable set.
 //
-// Objects refer to one another by name. A set that `CheckObjectSet` (see
+// Objects refer to one another by name. A set that `ReadObjectSet` (see
 // check.h) has accepted has no broken reference, so code that looks an object
 // up in an accepted set may rely on finding it.
 //
@@ -102,7 +102,10 @@
   const Service* FindService(const ServiceName& name) const;
   const Organisation* FindOrganisation(const OrganisationName& name) const;
 
-  // Finds the route with the longest prefix that matches.
+  // Finds the route with the longest prefix that matches whole segments of the
+  // path. A path with a "." or ".." segment, plain or percent-encoded, matches
+  // no route, because a backend server might resolve it to another route's
+  // path.
   // @param method  an HTTP method in upper case
   // @param path    the path of the request, without its query
   // @return the route, or nullptr
--- a/heatherlatch/telemetry/event_log.h
+++ b/heatherlatch/telemetry/event_log.h
@@ -3,12 +3,17 @@
 // Each kind of event has a number that never changes and is listed, with its
 // level, meaning and remedy, in docs/EVENTS.md. A line reads
 //   2026-12-04T10:00:00.123Z INFO  HL2001 placed request=... server=...
-// Lines of routine events (see `EventInfo::routine`) are limited in rate; how
-// many were left out is logged once a second. Refusals and failures are never
-// left out.
+// A value with a space, a quote or a control character is written in quotes and
+// escaped, so one event is always one line. Lines of routine events (see
+// `EventInfo::routine`) are limited in rate; how many were left out is logged
+// with the first event of a later second, or when the log is destroyed.
+// Refusals and failures are never left out. A log file that cannot be opened
+// gives way to standard error.
 //
 // Example:
-//   log.Write(EventId::kPlaced, {{"request", id}, {"server", server.str()}});
+//   if (log.Enabled(EventId::kPlaced)) {
+//     log.Write(EventId::kPlaced, {{"request", id}, {"server", name.str()}});
+//   }
 //
 // Thread safety: every method may be called from any thread.
 #ifndef HEATHERLATCH_TELEMETRY_EVENT_LOG_H_
@@ -34,6 +39,7 @@
   kSettingsRefused = 1004,
   kListenFailed = 1005,
   kLinesLeftOut = 1006,
+  kLogFileNotOpened = 1007,
   kPlaced = 2001,
   kPlacementRefused = 2002,
   kPlacementRetried = 2003,
@@ -97,8 +103,9 @@
   // Writes one line, unless its level or the rate limit leaves it out.
   void Write(EventId id, const std::vector<EventField>& fields);
 
-  // @return whether `Write` of this event would do anything; for callers that
-  //     would otherwise build the fields in vain
+  // Asks before the fields of an event are built. A routine event above the
+  // rate limit is counted as left out here, so `Write` is not called for it.
+  // @return whether `Write` of this event would write a line
   bool Enabled(EventId id) const;
 
  private:
--- /dev/null
+++ b/heatherlatch/yaml/units.cc
@@ -0,0 +1,75 @@
+#include "heatherlatch/yaml/units.h"
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace heatherlatch {
+namespace {
+
+struct Unit {
+  std::string_view suffix;
+  std::uint64_t factor;
+};
+
+// From the largest to the smallest.
+constexpr std::array<Unit, 4> kMillisecondUnits = {
+    {{"h", 3600000}, {"m", 60000}, {"s", 1000}, {"ms", 1}}};
+constexpr std::array<Unit, 3> kByteUnits = {
+    {{"MB", 1048576}, {"KB", 1024}, {"B", 1}}};
+
+constexpr std::uint64_t kMaxMilliseconds = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max())
+        .count());
+
+template <std::size_t kUnits>
+std::optional<std::uint64_t> ParseQuantity(
+    std::string_view text, const std::array<Unit, kUnits>& units,
+    std::uint64_t max) {
+  std::uint64_t count = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, count);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  const std::string_view suffix = text.substr(parsed.ptr - text.data());
+  for (const Unit& unit : units) {
+    if (unit.suffix != suffix) continue;
+    if (count > max / unit.factor) return std::nullopt;
+    return count * unit.factor;
+  }
+  return std::nullopt;
+}
+
+template <std::size_t kUnits>
+std::string FormatQuantity(std::uint64_t count,
+                           const std::array<Unit, kUnits>& units) {
+  for (const Unit& unit : units) {
+    if (count == 0 || count % unit.factor != 0) continue;
+    return std::to_string(count / unit.factor) + std::string(unit.suffix);
+  }
+  return "0" + std::string(units.back().suffix);
+}
+
+}  // namespace
+
+std::optional<Duration> ParseDuration(std::string_view text) {
+  const auto count = ParseQuantity(text, kMillisecondUnits, kMaxMilliseconds);
+  if (!count) return std::nullopt;
+  return std::chrono::milliseconds(*count);
+}
+
+std::optional<std::uint64_t> ParseSize(std::string_view text) {
+  return ParseQuantity(text, kByteUnits,
+                       std::numeric_limits<std::uint64_t>::max());
+}
+
+std::string FormatDuration(Duration duration) {
+  const auto count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return FormatQuantity(static_cast<std::uint64_t>(count), kMillisecondUnits);
+}
+
+std::string FormatSize(std::uint64_t bytes) {
+  return FormatQuantity(bytes, kByteUnits);
+}
+
+}  // namespace heatherlatch
