--- /dev/null
+++ b/heatherlatch/backend/backend_client.cc
@@ -0,0 +1,207 @@
+#include "heatherlatch/backend/backend_client.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "heatherlatch/backend/internal/answer_head_reader.h"
+#include "heatherlatch/backend/internal/connection_pool.h"
+#include "heatherlatch/backend/internal/http_connection.h"
+
+namespace heatherlatch {
+namespace {
+
+using internal::ExchangeEnd;
+using internal::ExchangeFailure;
+using internal::HttpRequest;
+using internal::IsConnectionHeader;
+using internal::PooledConnection;
+using internal::SplitList;
+using internal::ToLower;
+
+constexpr std::size_t kMaxHealthBytes = 4096;
+
+// Headers that the client writes itself.
+constexpr std::string_view kOwnHeaders[] = {
+    "content-length", "expect",        "idempotency-key",
+    "x-request-id",   "x-deadline-at", "x-deadline-ms"};
+
+bool IsOwnHeader(std::string_view lower_name) {
+  return std::find(std::begin(kOwnHeaders), std::end(kOwnHeaders),
+                   lower_name) != std::end(kOwnHeaders);
+}
+
+std::vector<std::string> ConnectionOptions(const HeaderList& headers) {
+  std::vector<std::string> options;
+  for (const auto& [name, value] : headers) {
+    if (ToLower(name) != "connection") continue;
+    for (std::string& option : SplitList(value)) {
+      options.push_back(std::move(option));
+    }
+  }
+  return options;
+}
+
+HeaderList ForwardedHeaders(const HeaderList& headers) {
+  const std::vector<std::string> options = ConnectionOptions(headers);
+  HeaderList forwarded;
+  for (const auto& header : headers) {
+    const std::string name = ToLower(header.first);
+    const bool is_option =
+        std::find(options.begin(), options.end(), name) != options.end();
+    if (is_option || IsConnectionHeader(name) || IsOwnHeader(name)) continue;
+    forwarded.push_back(header);
+  }
+  return forwarded;
+}
+
+void AddDeadline(HeaderList* headers, Duration left) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const auto wall_deadline =
+      std::chrono::system_clock::now().time_since_epoch() + left;
+  const auto left_milliseconds = duration_cast<milliseconds>(left).count();
+  const auto at_milliseconds =
+      duration_cast<milliseconds>(wall_deadline).count();
+  headers->emplace_back("X-Deadline-Ms", std::to_string(left_milliseconds));
+  headers->emplace_back("X-Deadline-At", std::to_string(at_milliseconds));
+}
+
+HttpRequest ToHttpRequest(const BackendRequest& request, Duration left) {
+  HttpRequest http;
+  http.method = request.method;
+  http.target = request.target;
+  http.headers = ForwardedHeaders(request.headers);
+  http.body = request.body;
+  http.request_id = request.request_id;
+  if (!request.request_id.empty()) {
+    http.headers.emplace_back("X-Request-Id", request.request_id);
+  }
+  if (!request.request_key.empty()) {
+    http.headers.emplace_back("Idempotency-Key", request.request_key);
+  }
+  AddDeadline(&http.headers, left);
+  return http;
+}
+
+BackendUnknownReason UnknownReasonOf(ExchangeFailure failure) {
+  switch (failure) {
+    case ExchangeFailure::kTimedOut:
+      return BackendUnknownReason::kTimedOut;
+    case ExchangeFailure::kCancelled:
+      return BackendUnknownReason::kCancelled;
+    case ExchangeFailure::kIncompleteBody:
+      return BackendUnknownReason::kIncompleteBody;
+    case ExchangeFailure::kMalformedAnswer:
+      return BackendUnknownReason::kMalformedAnswer;
+    case ExchangeFailure::kConnectFailed:
+    case ExchangeFailure::kConnectionLost:
+      return BackendUnknownReason::kConnectionLost;
+  }
+  return BackendUnknownReason::kConnectionLost;
+}
+
+decltype(BackendResult::end) EndOf(const ExchangeEnd& exchange) {
+  if (exchange.refusal) return BackendNotRun{*exchange.refusal};
+  if (!exchange.failure) return BackendAnswered{exchange.status};
+  if (exchange.sent) {
+    return BackendUnknown{UnknownReasonOf(*exchange.failure),
+                          exchange.head_delivered};
+  }
+  if (*exchange.failure == ExchangeFailure::kConnectFailed) {
+    return BackendNotRun{BackendNotRunReason::kConnectFailed};
+  }
+  return BackendNotRun{BackendNotRunReason::kNoTime};
+}
+
+BackendResult ToBackendResult(const ExchangeEnd& exchange) {
+  BackendResult result;
+  result.end = EndOf(exchange);
+  result.signs = exchange.signs;
+  result.first_byte = exchange.first_byte;
+  result.total = exchange.total;
+  result.body_bytes = exchange.body_bytes;
+  result.new_connection = exchange.new_connection;
+  return result;
+}
+
+// Adds what the body of a health answer says to the signs of its headers.
+void ReadHealth(const std::string& body, ServerSigns* signs) {
+  const auto health = nlohmann::json::parse(body, nullptr, false);
+  if (!health.is_object()) return;
+  const auto boot_id = health.find("boot_id");
+  if (boot_id != health.end() && boot_id->is_number_unsigned()) {
+    signs->boot_id = boot_id->get<std::uint64_t>();
+  }
+  const auto in_flight = health.find("in_flight");
+  if (in_flight != health.end() && in_flight->is_number_integer()) {
+    signs->in_flight = in_flight->get<int>();
+  }
+  const auto state = health.find("state");
+  if (state != health.end() && state->is_string()) {
+    signs->cold = *state == "cold";
+    signs->draining = *state == "draining";
+  }
+}
+
+}  // namespace
+
+class BackendClient::Impl {
+ public:
+  explicit Impl(BackendClientOptions options) : pool_(options) {}
+
+  ExchangeEnd Run(const Endpoint& endpoint, const HttpRequest& request,
+                  const AnswerSink& sink, TimePoint deadline) {
+    PooledConnection pooled = pool_.Take(endpoint, SteadyClock::now());
+    const ExchangeEnd end = pooled.connection->Run(request, sink, deadline);
+    if (end.reusable) pool_.Put(std::move(pooled), SteadyClock::now());
+    return end;
+  }
+
+  void Forget(const Endpoint& endpoint) { pool_.Forget(endpoint); }
+
+ private:
+  internal::ConnectionPool pool_;
+};
+
+BackendClient::BackendClient(BackendClientOptions options)
+    : impl_(std::make_unique<Impl>(options)) {}
+
+BackendClient::~BackendClient() = default;
+
+BackendResult BackendClient::Call(const BackendRequest& request,
+                                  const AnswerSink& sink, TimePoint deadline) {
+  const Duration left = deadline - SteadyClock::now();
+  if (left < std::chrono::milliseconds(1)) {
+    BackendResult result;
+    result.end = BackendNotRun{BackendNotRunReason::kNoTime};
+    return result;
+  }
+  const HttpRequest http = ToHttpRequest(request, left);
+  return ToBackendResult(impl_->Run(request.endpoint, http, sink, deadline));
+}
+
+ProbeResult BackendClient::Probe(const Endpoint& endpoint, Duration timeout) {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/health";
+  std::string body;
+  AnswerSink sink;
+  sink.on_data = [&body](std::string_view data) {
+    body += data;
+    return body.size() <= kMaxHealthBytes;
+  };
+  const ExchangeEnd end =
+      impl_->Run(endpoint, request, sink, SteadyClock::now() + timeout);
+  ProbeResult result;
+  result.reachable = !end.failure;
+  result.signs = end.signs;
+  result.round_trip = end.total;
+  if (result.reachable) ReadHealth(body, &result.signs);
+  return result;
+}
+
+void BackendClient::ForgetConnections(const Endpoint& endpoint) {
+  impl_->Forget(endpoint);
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/backend/internal/answer_head_reader.cc
@@ -0,0 +1,191 @@
+#include "heatherlatch/backend/internal/answer_head_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+
+namespace heatherlatch::internal {
+namespace {
+
+constexpr std::size_t kMaxHeadBytes = 65536;
+constexpr int kStatusSwitchingProtocols = 101;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
+constexpr int kStatusServiceUnavailable = 503;
+
+constexpr std::string_view kConnectionHeaders[] = {
+    "connection",         "keep-alive", "proxy-authenticate",
+    "proxy-authorization", "proxy-connection", "te",
+    "trailer",            "transfer-encoding", "upgrade"};
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) return {};
+  const auto last = text.find_last_not_of(" \t\r\n");
+  return text.substr(first, last - first + 1);
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  for (char& c : lower) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return lower;
+}
+
+std::vector<std::string> SplitList(std::string_view value) {
+  std::vector<std::string> elements;
+  while (!value.empty()) {
+    const auto comma = std::min(value.find(','), value.size());
+    const std::string_view element = Trim(value.substr(0, comma));
+    if (!element.empty()) elements.push_back(ToLower(element));
+    value.remove_prefix(std::min(comma + 1, value.size()));
+  }
+  return elements;
+}
+
+bool IsConnectionHeader(std::string_view name) {
+  return std::find(std::begin(kConnectionHeaders), std::end(kConnectionHeaders),
+                   name) != std::end(kConnectionHeaders);
+}
+
+HeadProgress AnswerHeadReader::TakeLine(std::string_view line) {
+  head_bytes_ += line.size();
+  if (head_bytes_ > kMaxHeadBytes) return HeadProgress::kMalformed;
+  const std::string_view text = Trim(line);
+  if (!in_head_) return TakeStatusLine(text);
+  if (text.empty()) return TakeEndOfHead();
+  const bool is_continuation = line.front() == ' ' || line.front() == '\t';
+  const auto colon = line.find(':');
+  if (is_continuation || colon == std::string_view::npos || colon == 0) {
+    return HeadProgress::kMalformed;
+  }
+  const std::string_view name = line.substr(0, colon);
+  if (Trim(name).size() != name.size()) return HeadProgress::kMalformed;
+  return TakeHeader(name, Trim(line.substr(colon + 1)));
+}
+
+HeadProgress AnswerHeadReader::TakeStatusLine(std::string_view line) {
+  // "HTTP/1.1 200 OK"; the reason may be missing.
+  constexpr std::string_view kVersionPrefix = "HTTP/1.";
+  constexpr std::size_t kStatusAt = 9;
+  constexpr std::size_t kStatusDigits = 3;
+  if (line.substr(0, kVersionPrefix.size()) != kVersionPrefix ||
+      line.size() < kStatusAt + kStatusDigits || line[kStatusAt - 1] != ' ') {
+    return HeadProgress::kMalformed;
+  }
+  const auto status = ParseNumber<int>(line.substr(kStatusAt, kStatusDigits));
+  const std::string_view rest = line.substr(kStatusAt + kStatusDigits);
+  if (!status || *status < 100 || *status > 599 ||
+      (!rest.empty() && rest.front() != ' ')) {
+    return HeadProgress::kMalformed;
+  }
+  head_.status = *status;
+  in_head_ = true;
+  return HeadProgress::kIncomplete;
+}
+
+HeadProgress AnswerHeadReader::TakeHeader(std::string_view name,
+                                          std::string_view value) {
+  const std::string lower_name = ToLower(name);
+  if (lower_name == "content-length") return TakeContentLength(value);
+  if (lower_name == "transfer-encoding") {
+    if (chunked_ || ToLower(value) != "chunked") {
+      return HeadProgress::kMalformed;
+    }
+    chunked_ = true;
+  } else if (lower_name == "connection") {
+    for (std::string& option : SplitList(value)) {
+      connection_options_.push_back(std::move(option));
+    }
+  }
+  TakeSign(lower_name, value);
+  if (!IsConnectionHeader(lower_name)) {
+    head_.headers.emplace_back(name, value);
+  }
+  return HeadProgress::kIncomplete;
+}
+
+HeadProgress AnswerHeadReader::TakeContentLength(std::string_view value) {
+  const auto length = ParseNumber<std::uint64_t>(value);
+  if (!length) return HeadProgress::kMalformed;
+  if (head_.content_length && *head_.content_length != *length) {
+    return HeadProgress::kMalformed;
+  }
+  head_.content_length = length;
+  return HeadProgress::kIncomplete;
+}
+
+HeadProgress AnswerHeadReader::TakeEndOfHead() {
+  if (head_.status == kStatusSwitchingProtocols) {
+    return HeadProgress::kMalformed;
+  }
+  if (head_.status < 200) {
+    *this = AnswerHeadReader(head_request_);
+    return HeadProgress::kIncomplete;
+  }
+  if (chunked_ && head_.content_length) return HeadProgress::kMalformed;
+  const bool without_body = head_request_ || head_.status == kStatusNoContent ||
+                            head_.status == kStatusNotModified;
+  if (without_body) {
+    body_end_ = BodyEnd::kNone;
+  } else if (chunked_) {
+    body_end_ = BodyEnd::kFinalChunk;
+  } else if (head_.content_length) {
+    body_end_ = BodyEnd::kLength;
+  } else {
+    body_end_ = BodyEnd::kConnectionClose;
+  }
+  DropConnectionHeaders();
+  return HeadProgress::kComplete;
+}
+
+void AnswerHeadReader::TakeSign(const std::string& name,
+                                std::string_view value) {
+  if (name == "x-boot-id") {
+    signs_.boot_id = ParseNumber<std::uint64_t>(value);
+  } else if (name == "x-in-flight") {
+    signs_.in_flight = ParseNumber<int>(value);
+  } else if (name == "x-server-state") {
+    signs_.cold = value == "cold";
+    signs_.draining = value == "draining";
+  } else if (name == "x-not-run") {
+    refusal_sign_ = value;
+  } else if (name == "x-request-id") {
+    request_id_ = value;
+  }
+}
+
+void AnswerHeadReader::DropConnectionHeaders() {
+  const auto is_named = [this](const auto& header) {
+    const std::string name = ToLower(header.first);
+    return std::find(connection_options_.begin(), connection_options_.end(),
+                     name) != connection_options_.end();
+  };
+  head_.headers.erase(
+      std::remove_if(head_.headers.begin(), head_.headers.end(), is_named),
+      head_.headers.end());
+}
+
+std::optional<BackendNotRunReason> AnswerHeadReader::refusal() const {
+  if (head_.status != kStatusServiceUnavailable) return std::nullopt;
+  if (refusal_sign_ == "shed") return BackendNotRunReason::kShed;
+  if (refusal_sign_ == "draining") return BackendNotRunReason::kDraining;
+  if (refusal_sign_ == "deadline") return BackendNotRunReason::kNoTime;
+  return std::nullopt;
+}
+
+}  // namespace heatherlatch::internal
--- /dev/null
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -0,0 +1,336 @@
+#include "heatherlatch/backend/internal/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <utility>
+
+namespace heatherlatch::internal {
+namespace {
+
+constexpr long kReceiveBufferBytes = 65536;  // NOLINT(google-runtime-int)
+
+// Initialises libcurl once for the process.
+void InitialiseCurl() {
+  static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(result);
+}
+
+bool HasForbiddenCharacter(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+// Percent-encodes the bytes that a request target must not contain.
+std::string EncodeTarget(std::string_view target) {
+  std::string encoded;
+  encoded.reserve(target.size());
+  for (const char c : target) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte > 0x20 && byte < 0x7f) {
+      encoded += c;
+      continue;
+    }
+    char escape[4];
+    std::snprintf(escape, sizeof(escape), "%%%02X", byte);
+    encoded += escape;
+  }
+  if (encoded.empty() || encoded.front() != '/') encoded.insert(0, "/");
+  return encoded;
+}
+
+bool HasHeader(const HeaderList& headers, std::string_view lower_name) {
+  return std::any_of(headers.begin(), headers.end(), [&](const auto& header) {
+    return ToLower(header.first) == lower_name;
+  });
+}
+
+// A list of header lines in libcurl's form.
+class HeaderLines {
+ public:
+  explicit HeaderLines(const HeaderList& headers) {
+    for (const auto& [name, value] : headers) Add(name, value);
+    // An empty value suppresses a header that libcurl adds by itself.
+    if (!HasHeader(headers, "accept")) AddLine("Accept:");
+    if (!HasHeader(headers, "content-type")) AddLine("Content-Type:");
+    AddLine("Expect:");
+  }
+  ~HeaderLines() { curl_slist_free_all(list_); }
+  HeaderLines(const HeaderLines&) = delete;
+  HeaderLines& operator=(const HeaderLines&) = delete;
+
+  curl_slist* get() const { return list_; }
+
+ private:
+  void Add(const std::string& name, const std::string& value) {
+    if (HasForbiddenCharacter(name) || HasForbiddenCharacter(value)) return;
+    // libcurl writes "Name;" as a header with an empty value.
+    line_ = value.empty() ? name + ";" : name + ": " + value;
+    AddLine(line_.c_str());
+  }
+  void AddLine(const char* line) { list_ = curl_slist_append(list_, line); }
+
+  curl_slist* list_ = nullptr;
+  std::string line_;
+};
+
+std::chrono::milliseconds PollTime(TimePoint now, TimePoint deadline) {
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
+  return std::clamp(left, std::chrono::milliseconds(0),
+                    kCancellationPollInterval);
+}
+
+bool IsWhole(BodyEnd body_end, const AnswerHead& head,
+             std::uint64_t body_bytes) {
+  switch (body_end) {
+    case BodyEnd::kNone:
+      return body_bytes == 0;
+    case BodyEnd::kLength:
+      return body_bytes == head.content_length;
+    case BodyEnd::kFinalChunk:
+      return true;  // libcurl fails the exchange without a final chunk.
+    case BodyEnd::kConnectionClose:
+      return false;
+  }
+  return false;
+}
+
+ExchangeFailure FailureOf(CURLcode code, bool sent) {
+  switch (code) {
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:  // Answer without a status line.
+    case CURLE_BAD_CONTENT_ENCODING:
+      return ExchangeFailure::kMalformedAnswer;
+    case CURLE_PARTIAL_FILE:
+      return ExchangeFailure::kIncompleteBody;
+    default:
+      return sent ? ExchangeFailure::kConnectionLost
+                  : ExchangeFailure::kConnectFailed;
+  }
+}
+
+}  // namespace
+
+// The state of one exchange while libcurl calls back.
+struct HttpConnection::Exchange {
+  Exchange(const HttpRequest& request, const AnswerSink& answer_sink)
+      : sink(answer_sink),
+        request_id(request.request_id),
+        reader(request.method == "HEAD"),
+        start(SteadyClock::now()) {}
+
+  bool TakeHeadLine(std::string_view line);
+  bool TakeCompleteHead();
+  bool TakeBody(std::string_view data);
+  bool Fail(ExchangeFailure why) {
+    end.failure = why;
+    return false;
+  }
+
+  const AnswerSink& sink;
+  const std::string& request_id;
+  AnswerHeadReader reader;
+  bool head_complete = false;
+  TimePoint start;
+  ExchangeEnd end;
+};
+
+bool HttpConnection::Exchange::TakeHeadLine(std::string_view line) {
+  if (end.first_byte == Duration::zero()) {
+    end.first_byte = SteadyClock::now() - start;
+  }
+  if (head_complete) return true;  // A trailer.
+  switch (reader.TakeLine(line)) {
+    case HeadProgress::kIncomplete:
+      return true;
+    case HeadProgress::kMalformed:
+      return Fail(ExchangeFailure::kMalformedAnswer);
+    case HeadProgress::kComplete:
+      return TakeCompleteHead();
+  }
+  return false;
+}
+
+bool HttpConnection::Exchange::TakeCompleteHead() {
+  const std::string& answered_id = reader.request_id();
+  if (!answered_id.empty() && answered_id != request_id) {
+    return Fail(ExchangeFailure::kMalformedAnswer);
+  }
+  head_complete = true;
+  end.status = reader.head().status;
+  end.signs = reader.signs();
+  end.refusal = reader.refusal();
+  if (end.refusal || !sink.on_head) return true;
+  end.head_delivered = true;
+  return sink.on_head(reader.head()) || Fail(ExchangeFailure::kCancelled);
+}
+
+bool HttpConnection::Exchange::TakeBody(std::string_view data) {
+  if (!head_complete) return Fail(ExchangeFailure::kMalformedAnswer);
+  end.body_bytes += data.size();
+  if (end.refusal || !sink.on_data) return true;
+  return sink.on_data(data) || Fail(ExchangeFailure::kCancelled);
+}
+
+HttpConnection::HttpConnection(Endpoint endpoint, Duration connect_timeout)
+    : endpoint_(std::move(endpoint)) {
+  InitialiseCurl();
+  multi_ = curl_multi_init();
+  easy_ = curl_easy_init();
+  SetConstantOptions(connect_timeout);
+}
+
+HttpConnection::~HttpConnection() {
+  curl_multi_remove_handle(multi_, easy_);
+  curl_easy_cleanup(easy_);
+  curl_multi_cleanup(multi_);
+}
+
+void HttpConnection::SetConstantOptions(Duration connect_timeout) {
+  const auto connect_milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(connect_timeout).count();
+  const std::string url = "http://" + ToString(endpoint_) + "/";
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 1L);
+  curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy_, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION,
+                   static_cast<std::int64_t>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy_, CURLOPT_HTTP09_ALLOWED, 0L);
+  curl_easy_setopt(easy_, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<std::int64_t>(connect_milliseconds));
+  curl_easy_setopt(easy_, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
+  curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+}
+
+void HttpConnection::SetMethod(const HttpRequest& request) {
+  const std::string& method = request.method;
+  curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, nullptr);
+  curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);  // Also clears NOBODY.
+  if (method == "HEAD") {
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  const bool sends_length = !request.body.empty() || method == "POST" ||
+                            method == "PUT" || method == "PATCH";
+  if (sends_length) {
+    curl_easy_setopt(easy_, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS,
+                     request.body.empty() ? "" : request.body.data());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+  }
+  if (method != (sends_length ? "POST" : "GET")) {
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, method.c_str());
+  }
+}
+
+ExchangeEnd HttpConnection::Run(const HttpRequest& request,
+                                const AnswerSink& sink, TimePoint deadline) {
+  Exchange exchange(request, sink);
+  const HeaderLines header_lines(request.headers);
+  SetMethod(request);
+  curl_easy_setopt(easy_, CURLOPT_REQUEST_TARGET,
+                   EncodeTarget(request.target).c_str());
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_lines.get());
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, &exchange);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, &exchange);
+  curl_easy_setopt(easy_, CURLOPT_PREREQDATA, &exchange);
+
+  curl_multi_add_handle(multi_, easy_);
+  const std::optional<CURLcode> code = Drive(&exchange, sink, deadline);
+  ExchangeEnd& end = exchange.end;
+  if (!end.failure && code && *code != CURLE_OK) {
+    end.failure = FailureOf(*code, end.sent);
+  }
+  const bool whole =
+      exchange.head_complete &&
+      IsWhole(exchange.reader.body_end(), exchange.reader.head(),
+              end.body_bytes);
+  if (!end.failure && !whole) {
+    end.failure = exchange.head_complete ? ExchangeFailure::kIncompleteBody
+                                         : ExchangeFailure::kConnectionLost;
+  }
+  // NOLINTNEXTLINE(google-runtime-int)
+  long new_connections = 0;
+  curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &new_connections);
+  end.new_connection = new_connections > 0;
+  curl_multi_remove_handle(multi_, easy_);
+  end.reusable = !end.failure && ActiveSocket() != CURL_SOCKET_BAD;
+  end.total = SteadyClock::now() - exchange.start;
+  return end;
+}
+
+std::optional<CURLcode> HttpConnection::Drive(Exchange* exchange,
+                                              const AnswerSink& sink,
+                                              TimePoint deadline) {
+  while (true) {
+    int running = 0;
+    curl_multi_perform(multi_, &running);
+    if (running == 0) break;
+    const TimePoint now = SteadyClock::now();
+    if (now >= deadline) {
+      exchange->Fail(ExchangeFailure::kTimedOut);
+      return std::nullopt;
+    }
+    if (sink.cancelled && sink.cancelled()) {
+      exchange->Fail(ExchangeFailure::kCancelled);
+      return std::nullopt;
+    }
+    const auto wait = static_cast<int>(PollTime(now, deadline).count());
+    curl_multi_poll(multi_, nullptr, 0, wait, nullptr);
+  }
+  int left = 0;
+  const CURLMsg* message = curl_multi_info_read(multi_, &left);
+  if (message == nullptr) return CURLE_FAILED_INIT;
+  return message->data.result;
+}
+
+curl_socket_t HttpConnection::ActiveSocket() const {
+  curl_socket_t socket = CURL_SOCKET_BAD;
+  curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &socket);
+  return socket;
+}
+
+bool HttpConnection::IsIdleAndOpen() const {
+  const curl_socket_t socket = ActiveSocket();
+  if (socket == CURL_SOCKET_BAD) return false;
+  char byte = 0;
+  const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::size_t HttpConnection::OnHeaderLine(char* data, std::size_t size,
+                                         std::size_t count, void* exchange) {
+  const std::size_t bytes = size * count;
+  const bool wanted = static_cast<Exchange*>(exchange)->TakeHeadLine(
+      std::string_view(data, bytes));
+  return wanted ? bytes : 0;
+}
+
+std::size_t HttpConnection::OnBody(char* data, std::size_t size,
+                                   std::size_t count, void* exchange) {
+  const std::size_t bytes = size * count;
+  const bool wanted = static_cast<Exchange*>(exchange)->TakeBody(
+      std::string_view(data, bytes));
+  return wanted ? bytes : 0;
+}
+
+int HttpConnection::OnBeforeSend(void* exchange, char* /*remote_ip*/,
+                                 char* /*local_ip*/, int /*remote_port*/,
+                                 int /*local_port*/) {
+  ExchangeEnd& end = static_cast<Exchange*>(exchange)->end;
+  if (end.sent) return CURL_PREREQFUNC_ABORT;
+  end.sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+}  // namespace heatherlatch::internal
--- /dev/null
+++ b/heatherlatch/backend/internal/http_connection.h
@@ -0,0 +1,100 @@
+// One connection to one HTTP/1.1 server, driven by libcurl.
+//
+// A request is put on the wire at most once. libcurl by itself sends a request
+// a second time, on a new connection, when a reused connection ends before the
+// first byte of an answer; a server may have run the request by then. A
+// CURLOPT_PREREQFUNCTION callback, which libcurl calls before each send,
+// refuses the second one.
+//
+// Thread safety: none; one exchange at a time.
+#ifndef HEATHERLATCH_BACKEND_INTERNAL_HTTP_CONNECTION_H_
+#define HEATHERLATCH_BACKEND_INTERNAL_HTTP_CONNECTION_H_
+
+#include <curl/curl.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "heatherlatch/backend/backend_client.h"
+#include "heatherlatch/backend/internal/answer_head_reader.h"
+
+namespace heatherlatch::internal {
+
+// How often a running exchange asks whether it is cancelled.
+constexpr std::chrono::milliseconds kCancellationPollInterval(10);
+
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  HeaderList headers;
+  std::string_view body;
+  std::string request_id;  // An answer with another `X-Request-Id` is refused.
+};
+
+enum class ExchangeFailure {
+  kConnectFailed,
+  kTimedOut,
+  kCancelled,
+  kConnectionLost,
+  kIncompleteBody,
+  kMalformedAnswer,
+};
+
+struct ExchangeEnd {
+  std::optional<ExchangeFailure> failure;  // None: the answer is whole.
+  bool sent = false;            // Bytes of the request may have left.
+  bool head_delivered = false;  // `on_head` was called.
+  int status = 0;               // 0 until a head has arrived.
+  std::optional<BackendNotRunReason> refusal;
+  ServerSigns signs;
+  Duration first_byte{};
+  Duration total{};
+  std::uint64_t body_bytes = 0;
+  bool new_connection = false;
+  bool reusable = false;  // The connection may carry another exchange.
+};
+
+class HttpConnection {
+ public:
+  HttpConnection(Endpoint endpoint, Duration connect_timeout);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+
+  const Endpoint& endpoint() const { return endpoint_; }
+
+  // Sends one request and receives its answer. An answer with a refusal sign
+  // is not passed to the sink.
+  ExchangeEnd Run(const HttpRequest& request, const AnswerSink& sink,
+                  TimePoint deadline);
+
+  // @return whether the idle connection is open and no byte waits on it
+  bool IsIdleAndOpen() const;
+
+ private:
+  struct Exchange;
+
+  void SetConstantOptions(Duration connect_timeout);
+  void SetMethod(const HttpRequest& request);
+  std::optional<CURLcode> Drive(Exchange* exchange, const AnswerSink& sink,
+                                TimePoint deadline);
+  curl_socket_t ActiveSocket() const;
+
+  static std::size_t OnHeaderLine(char* data, std::size_t size,
+                                  std::size_t count, void* exchange);
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                            void* exchange);
+  static int OnBeforeSend(void* exchange, char* remote_ip, char* local_ip,
+                          int remote_port, int local_port);
+
+  Endpoint endpoint_;
+  CURLM* multi_;
+  CURL* easy_;
+};
+
+}  // namespace heatherlatch::internal
+
+#endif  // HEATHERLATCH_BACKEND_INTERNAL_HTTP_CONNECTION_H_
