Add first versions of the execution rules

Request keys, the execution log, the key ring, token budgets, crash suspects and the configuration keeper, as pure code in virtual time.

Contract changes: ExecutionLog::ImportKeys and KeyRing::OnHandOver return bool; KeyRing gains Leave, HandOverDue and OnHandOverAcked; CrashSuspects gains OnEndWithoutAnswer; ConfigurationKeeper::MayServe is not const.

--- /dev/null
+++ b/heatherlatch/admission/crash_suspects.cc
@@ -0,0 +1,103 @@
+#include "heatherlatch/admission/crash_suspects.h"
+
+#include <algorithm>
+
+namespace heatherlatch {
+
+CrashSuspects::CrashSuspects(CrashSuspectsOptions options)
+    : options_(options) {}
+
+SuspectVerdict CrashSuspects::Admit(const ServiceName& service,
+                                    ContentDigest digest, TimePoint now) {
+  const Key key(service, digest);
+  const auto found = suspects_.find(key);
+  if (found == suspects_.end() || IsExpired(found->second, now)) {
+    CountRunning(key);
+    return SuspectVerdict::kClear;
+  }
+  Suspect& suspect = found->second;
+  if (suspect.crashes >= options_.crashes_until_refused) {
+    return SuspectVerdict::kRefuse;
+  }
+  if (running_.count(key) > 0) return SuspectVerdict::kWait;
+  CountRunning(key);
+  suspect.isolated_running = true;
+  return SuspectVerdict::kIsolate;
+}
+
+SuspectNotice CrashSuspects::OnEnd(const ServiceName& service,
+                                   ContentDigest digest, bool server_lost,
+                                   TimePoint now) {
+  const Key key(service, digest);
+  if (!DropRunning(key)) return {};
+  const auto found = suspects_.find(key);
+  const bool isolated =
+      found != suspects_.end() && found->second.isolated_running;
+  if (!server_lost) {
+    if (isolated) suspects_.erase(found);
+    return {};
+  }
+  Suspect& suspect = FindOrAdd(key);
+  suspect.crashes =
+      isolated ? suspect.crashes + 1 : std::max(suspect.crashes, 1);
+  suspect.isolated_running = false;
+  suspect.last_crash = now;
+  return {digest, service, suspect.crashes, Duration::zero()};
+}
+
+void CrashSuspects::OnEndWithoutAnswer(const ServiceName& service,
+                                       ContentDigest digest) {
+  const Key key(service, digest);
+  if (!DropRunning(key)) return;
+  const auto found = suspects_.find(key);
+  if (found != suspects_.end()) found->second.isolated_running = false;
+}
+
+void CrashSuspects::Learn(const SuspectNotice& notice, TimePoint now) {
+  if (notice.crashes <= 0 || notice.age >= options_.memory) return;
+  Suspect& suspect = FindOrAdd({notice.service, notice.digest});
+  suspect.crashes = std::max(suspect.crashes, notice.crashes);
+  suspect.last_crash = std::max(suspect.last_crash, now - notice.age);
+}
+
+void CrashSuspects::Expire(TimePoint now) {
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    const bool drop =
+        IsExpired(it->second, now) && !it->second.isolated_running;
+    it = drop ? suspects_.erase(it) : std::next(it);
+  }
+}
+
+bool CrashSuspects::IsExpired(const Suspect& suspect, TimePoint now) const {
+  return now - suspect.last_crash >= options_.memory;
+}
+
+void CrashSuspects::CountRunning(const Key& key) { ++running_[key]; }
+
+bool CrashSuspects::DropRunning(const Key& key) {
+  const auto found = running_.find(key);
+  if (found == running_.end()) return false;
+  if (--found->second == 0) running_.erase(found);
+  return true;
+}
+
+CrashSuspects::Suspect& CrashSuspects::FindOrAdd(const Key& key) {
+  const auto found = suspects_.find(key);
+  if (found != suspects_.end()) return found->second;
+  if (suspects_.size() >= options_.max_suspects) ForgetLeast();
+  return suspects_[key];
+}
+
+void CrashSuspects::ForgetLeast() {
+  const auto less_telling = [](const auto& a, const auto& b) {
+    if (a.second.crashes != b.second.crashes) {
+      return a.second.crashes < b.second.crashes;
+    }
+    return a.second.last_crash < b.second.last_crash;
+  };
+  const auto least =
+      std::min_element(suspects_.begin(), suspects_.end(), less_telling);
+  if (least != suspects_.end()) suspects_.erase(least);
+}
+
+}  // namespace heatherlatch
--- a/heatherlatch/admission/crash_suspects.h
+++ b/heatherlatch/admission/crash_suspects.h
@@ -3,10 +3,14 @@
 // A request is known by the digest of its content, so sending it again under a
 // new ID does not hide it. When a server is lost while requests run on it, each
 // of them becomes a suspect. A suspect runs isolated: on a server that runs
-// nothing else, one suspect of a content at a time. A suspect that runs to its
-// answer is cleared. A content that was running at two crashes is refused until
-// its memory time is over; if it shared the server at its first crash, the
-// second crash, alone, is the proof.
+// nothing else, one suspect of a content at a time, after the copies that were
+// already running have ended. A suspect that runs isolated to its answer is
+// cleared. A loss during an isolated run has one possible cause, so only such a
+// loss counts towards refusal; a content that merely shared servers that
+// crashed is never refused.
+//
+// When the memory is full, the suspect with the fewest crashes, and of these
+// the oldest, is forgotten. It is then met as an unknown content again.
 //
 // Suspicion is shared with hosts of the home regions only, by digest.
 //
@@ -16,6 +20,7 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "heatherlatch/base/name.h"
@@ -29,7 +34,7 @@
   kClear,    // Run as usual.
   kIsolate,  // Run alone on a server.
   kWait,     // The same content is running isolated; try again later.
-  kRefuse,   // Not run: two servers crashed while it ran.
+  kRefuse,   // Not run: a server crashed while it ran nothing else.
 };
 
 struct SuspectNotice {
@@ -53,7 +58,8 @@
   SuspectVerdict Admit(const ServiceName& service, ContentDigest digest,
                        TimePoint now);
 
-  // Records that a request ended.
+  // Records that a request ran to its whole answer, or that its server was
+  // lost. A request that ended otherwise goes to `OnEndWithoutAnswer`.
   // @param server_lost  the server closed or reset the connection, or could no
   //                     longer be reached, before its answer was whole
   // @return the notice to share, where the content has become a suspect, or
@@ -61,6 +67,10 @@
   SuspectNotice OnEnd(const ServiceName& service, ContentDigest digest,
                       bool server_lost, TimePoint now);
 
+  // Records that an admitted request ended and showed nothing: it was not sent,
+  // shed, cancelled or timed out.
+  void OnEndWithoutAnswer(const ServiceName& service, ContentDigest digest);
+
   // Takes over what a peer found.
   void Learn(const SuspectNotice& notice, TimePoint now);
 
@@ -72,13 +82,23 @@
  private:
   struct Suspect {
     int crashes = 0;
-    int running = 0;
+    bool isolated_running = false;
     TimePoint last_crash;
   };
   using Key = std::pair<ServiceName, ContentDigest>;
 
+  bool IsExpired(const Suspect& suspect, TimePoint now) const;
+  void CountRunning(const Key& key);
+  // @return whether a run of the content was counted
+  bool DropRunning(const Key& key);
+  // @return the suspect, made where it is new; another may be forgotten for it
+  Suspect& FindOrAdd(const Key& key);
+  void ForgetLeast();
+
   CrashSuspectsOptions options_;
   std::map<Key, Suspect> suspects_;
+  // Admitted runs that have not ended, for each content.
+  std::map<Key, int> running_;
 };
 
 }  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/admission/crash_suspects_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/heatherlatch/admission/token_budget_test.cc
@@ -0,0 +1,77 @@
+#include "heatherlatch/admission/token_budget.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <tuple>
+#include <vector>
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kRounding = 1e-6;
+
+TEST_CASE("a token budget never gives more than its rate and burst",
+          "[promise-01]") {
+  CHECK(rc::check("spent <= rate * time + burst", [] {
+    const double rate = *rc::gen::inRange(0, 1000);
+    const double burst = *rc::gen::inRange(0, 500);
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(-50, 2000), rc::gen::inRange(0, 300)));
+    const TimePoint start{};
+    TokenBudget budget(rate, burst, start);
+    TimePoint now = start;
+    TimePoint latest = start;
+    double spent = 0;
+    for (const auto& [wait_ms, amount] : steps) {
+      now += milliseconds(wait_ms);
+      latest = std::max(latest, now);
+      if (budget.TrySpend(amount, now)) spent += amount;
+      const std::chrono::duration<double> elapsed = latest - start;
+      RC_ASSERT(spent <= rate * elapsed.count() + burst + kRounding);
+    }
+  }));
+}
+
+TEST_CASE("a cost known afterwards is paid back before the next spend",
+          "[promise-01]") {
+  const TimePoint start{};
+  TokenBudget budget(10, 5, start);
+  budget.Spend(25, start);
+  CHECK_FALSE(budget.HasRoom(start + milliseconds(2000)));
+  CHECK(budget.HasRoom(start + milliseconds(2001)));
+  CHECK_FALSE(budget.TrySpend(5, start + milliseconds(2499)));
+  CHECK(budget.TrySpend(5, start + milliseconds(2500)));
+}
+
+TEST_CASE("a lower rate takes away what was saved above its burst") {
+  const TimePoint start{};
+  TokenBudget budget(100, 100, start);
+  budget.SetRate(1, 2, start);
+  CHECK_FALSE(budget.TrySpend(3, start));
+  CHECK(budget.TrySpend(2, start));
+}
+
+TEST_CASE("retries stay within their share of successes", "[promise-01]") {
+  CHECK(rc::check("retries <= reserve + share * successes", [] {
+    const double share = *rc::gen::inRange(0, 100) / 100.0;
+    const double reserve = *rc::gen::inRange(0, 20);
+    RetryBudget budget(share, reserve);
+    double successes = 0;
+    double retries = 0;
+    for (const bool success : *rc::gen::arbitrary<std::vector<bool>>()) {
+      if (success) {
+        budget.OnSuccess();
+        ++successes;
+      } else if (budget.TryRetry()) {
+        ++retries;
+      }
+      RC_ASSERT(retries <= reserve + share * successes + kRounding);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/at_most_once/execution_log.h
+++ b/heatherlatch/at_most_once/execution_log.h
@@ -5,8 +5,11 @@
 // bounded in entries, answer bytes and time:
 //   - An answer is kept for `retention` and then dropped; a repeat is answered
 //     `Forgotten`.
-//   - For tickets, a low-water mark replaces dropped entries, so a ticket that
-//     was issued here never runs after its entry is gone.
+//   - Answers above `max_answer_bytes` are dropped, the earliest first; a
+//   repeat
+//     is then answered `Forgotten` too.
+//   - Tickets whose entry is gone, or that are older than `ticket_lifetime`,
+//     are kept as ranges of sequences, so they never run again.
 //   - A caller's key is forgotten after `retention`, which is why the retention
 //     must be longer than the resend window of the published limits.
 //   - When the log is full, new requests are refused as not run; entries within
@@ -93,22 +96,29 @@
   // @param digest  hash of method, path and body; a repeat must match it
   BeginResult Begin(const RequestKey& key, std::uint64_t digest, TimePoint now);
 
-  // Records how a run ended. `NotRun` frees the key to run again.
+  // Records how a run ended. `NotRun` frees the key to run again. Called once
+  // for each `StartRun`; a later call for the same run changes nothing unless
+  // the key has been started again.
   // @param answer  the whole answer where the outcome is `Ran`, or null
   void Finish(const RequestKey& key, const Outcome& outcome,
               std::shared_ptr<const StoredAnswer> answer, TimePoint now);
 
-  // Drops what is past its retention.
+  // Drops what is past its retention. A run that has not ended is kept.
   void Expire(TimePoint now);
 
   // @return records of callers' keys, for the next owner
   std::vector<KeyRecord> ExportKeys(TimePoint now) const;
 
   // Takes over records of a former owner. A key that is known here is kept.
-  void ImportKeys(const std::vector<KeyRecord>& records, TimePoint now);
+  // @return false where the log is too full to hold them all; the keys of the
+  //     former owner then must not run here without a quiet period
+  bool ImportKeys(const std::vector<KeyRecord>& records, TimePoint now);
 
   std::size_t size() const;
 
+  // @return bytes of all kept answers
+  std::size_t answer_bytes() const;
+
  private:
   class State;
   std::unique_ptr<State> state_;
--- /dev/null
+++ b/heatherlatch/at_most_once/internal/rendezvous.h
@@ -0,0 +1,34 @@
+// The scores of rendezvous hashing over host incarnations.
+//
+// Thread safety: pure functions.
+#ifndef HEATHERLATCH_AT_MOST_ONCE_INTERNAL_RENDEZVOUS_H_
+#define HEATHERLATCH_AT_MOST_ONCE_INTERNAL_RENDEZVOUS_H_
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "heatherlatch/base/host_incarnation.h"
+
+namespace heatherlatch {
+
+inline std::uint64_t HashOf(const std::string& text, std::uint64_t seed = 0) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+// A place in the order of owners of a key; the greatest score owns it. The
+// incarnation decides between equal hashes.
+using OwnerScore = std::pair<std::uint64_t, HostIncarnation>;
+
+// @param key_hash  `HashOf` the text of the key
+inline OwnerScore ScoreOf(std::uint64_t key_hash,
+                          const HostIncarnation& incarnation) {
+  return {HashOf(incarnation.host.str(), key_hash ^ incarnation.nonce),
+          incarnation};
+}
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_AT_MOST_ONCE_INTERNAL_RENDEZVOUS_H_
--- a/heatherlatch/at_most_once/key_ring.h
+++ b/heatherlatch/at_most_once/key_ring.h
@@ -5,22 +5,37 @@
 // disagree on the ring, so ownership alone proves nothing. A host runs a
 // request under key K only while all of this holds:
 //   1. It is the owner of K in its own ring.
-//   2. More than half of the electorate supports the same ring. The electorate
-//      is every incarnation that was in a ring of this host, or in the
-//      platform's list, within the last `quiet_period`.
-//   3. 1 and 2 have held without a gap for `quiet_period`, or the former owner
-//      of K handed its records over before it stopped.
+//   2. More than half of its electorate supports the same ring.
+//   3. 2 has held for this ring without a gap for `quiet_period`, or this host
+//      (or a former owner that handed K over) had the right to run K less than
+//      a quiet period ago, and no host that could own K in between is
+//      unaccounted for.
 //
-// A host supports one ring at a time. After its ring changes it supports none
-// for `support_lifetime`, so a support that another host still counts cannot
-// overlap with support for a different ring. Two rings therefore never have a
-// majority of one electorate at the same moment, and two hosts cannot run the
-// same key within one `quiet_period`. With `quiet_period` longer than the
-// resend window plus the longest request deadline plus the clock error, no
-// repeat reaches a second owner.
+// Support. A host supports one ring at a time. After its ring changes it
+// supports none for `support_lifetime`, so a support that another host still
+// counts cannot overlap with support for a different ring.
 //
-// Assumption: two rings that are in use within one `quiet_period` share more
-// than half of their members. Requests under a `Ticket` do not need it.
+// Electorate. The electorate is counted in host names: every name that was in a
+// ring of this host or in the platform's list. Silence removes no name. A name
+// is removed when the platform's list, read at least `quiet_period` after the
+// name was last seen, no longer has it, or `support_lifetime` after its host
+// handed over and left. A new incarnation only observes: its support is counted
+// once every name of its own electorate has reported the same ring. So a host
+// with a majority has in its electorate every host whose support counts
+// anywhere, and two rings never have a majority at the same moment.
+//
+// Bound. `quiet_period` must be longer than the resend window of the published
+// limits plus the longest request deadline plus `2 * support_lifetime` plus the
+// clock error; then no repeat reaches a second owner.
+// docs/design/at-most-once.md gives the argument, the assumptions about the
+// platform's list and what the rule costs. Requests under a `Ticket` need none
+// of this.
+//
+// Hand-over. `Judge` and `ExecutionLog::Begin` must be called under one lock,
+// and records must be exported under it after `SetMembers` or `Leave`. A host
+// that leaves calls `Leave` and sends all its records to every host of
+// `HandOverDue`; a live host does the same for a joiner that takes over some of
+// its keys. The receiver calls `OnHandOver` after it has imported them all.
 //
 // Example:
 //   ring.SetMembers(members, now);
@@ -68,11 +83,14 @@
   // Replaces the members of the ring: the live hosts of the region.
   void SetMembers(const std::vector<HostIncarnation>& members, TimePoint now);
 
-  // Adds incarnations to the electorate that the platform's list names.
+  // Records a reading of the platform's list: the hosts of the region, leaving
+  // ones included. A host supports no ring before its first reading.
+  // @param listed  the hosts; the nonce is 0 where it is not known
   void NoteListed(const std::vector<HostIncarnation>& listed, TimePoint now);
 
-  // @return the hash of the ring that this host supports now; 0 while it
-  //     supports none
+  // @return the hash of the ring that this host supports or observes now; 0
+  //     while it does neither. To be sent as it is in the answer to a
+  //     heartbeat.
   std::uint64_t SupportedRing(TimePoint now) const;
 
   // Records the support of a peer.
@@ -82,9 +100,22 @@
   void OnSupport(const HostIncarnation& peer, std::uint64_t ring,
                  TimePoint asked_at);
 
-  // Records that a former owner has stopped running requests and that its
-  // records were imported: its keys need no quiet period here.
-  void OnHandOver(const HostIncarnation& former_owner, TimePoint now);
+  // Records that all records of a former owner were imported. The former owner
+  // has left, or is live and no longer runs the keys that this host owns. The
+  // message must have come over the same link as the peer's supports.
+  // @return whether it counts; if not, a live sender must send again
+  bool OnHandOver(const HostIncarnation& former_owner, TimePoint now);
+
+  // Ends the right of this host to run any key, because it is stopping.
+  void Leave(TimePoint now);
+
+  // @return hosts to which this host must send its records: joiners that have
+  //     taken over some of its keys or, after `Leave`, every other member.
+  //     Empty where this host has no proof to pass on.
+  std::vector<HostIncarnation> HandOverDue() const;
+
+  // Records that a host has imported the records of this host.
+  void OnHandOverAcked(const HostIncarnation& peer);
 
   // @return whether this host may run a request under the key now
   KeyVerdict Judge(const CallerKey& key, TimePoint now);
--- /dev/null
+++ b/heatherlatch/configuration/configuration_keeper.cc
@@ -0,0 +1,77 @@
+#include "heatherlatch/configuration/configuration_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherlatch {
+namespace {
+
+constexpr std::size_t kMaxRejectedRevisions = 64;
+
+}  // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(ConfigurationOptions options,
+                                         Checker checker, TimePoint started)
+    : options_(options), checker_(std::move(checker)), started_(started) {}
+
+OfferResult ConfigurationKeeper::Offer(const ConfigurationDocument& document,
+                                       TimePoint /*now*/) {
+  const Revision in_force = InForce();
+  if (document.revision < in_force || document.revision == 0) {
+    return Older{in_force};
+  }
+  if (document.revision == in_force) return AlreadyInForce{};
+  if (rejected_.count(document.revision) > 0) return Older{in_force};
+  auto checked = checker_(document);
+  if (auto* rejected = std::get_if<Rejected>(&checked)) {
+    RememberRejected(document.revision);
+    rejected->revision = document.revision;
+    return std::move(*rejected);
+  }
+  current_ = std::get<std::shared_ptr<const ObjectSet>>(std::move(checked));
+  document_ = document;
+  rejected_.erase(rejected_.begin(), rejected_.upper_bound(document.revision));
+  return Accepted{document.revision};
+}
+
+bool ConfigurationKeeper::OnPeerRevision(const HostIncarnation& peer,
+                                         Revision revision) {
+  const auto found = peer_revisions_.find(peer);
+  if (found != peer_revisions_.end()) found->second = revision;
+  highest_reported_ = std::max(highest_reported_, revision);
+  return revision > InForce() && rejected_.count(revision) == 0;
+}
+
+void ConfigurationKeeper::OnPeerLink(const HostIncarnation& peer, bool up) {
+  if (up) {
+    peer_revisions_.emplace(peer, 0);
+  } else {
+    peer_revisions_.erase(peer);
+  }
+}
+
+bool ConfigurationKeeper::MayServe(TimePoint now) {
+  if (serves_) return true;
+  const bool waited = now - started_ >= options_.peer_answer_wait;
+  serves_ = current_ != nullptr && waited && InForce() >= highest_reported_;
+  return serves_;
+}
+
+std::shared_ptr<const ObjectSet> ConfigurationKeeper::Current() const {
+  return current_;
+}
+
+const ConfigurationDocument& ConfigurationKeeper::Document() const {
+  return document_;
+}
+
+Revision ConfigurationKeeper::InForce() const { return document_.revision; }
+
+void ConfigurationKeeper::RememberRejected(Revision revision) {
+  rejected_.insert(revision);
+  if (rejected_.size() > kMaxRejectedRevisions) {
+    rejected_.erase(rejected_.begin());
+  }
+}
+
+}  // namespace heatherlatch
--- a/heatherlatch/configuration/configuration_keeper.h
+++ b/heatherlatch/configuration/configuration_keeper.h
@@ -7,9 +7,10 @@
 // stays. A host that has no set yet serves nothing (`Current` is null).
 //
 // A new host asks its peers before it serves, because the platform may be
-// stale: `MayServe` holds once a set is in force and every peer that was linked
-// in the first `peer_answer_wait` has reported its revision, or that wait is
-// over.
+// stale: `MayServe` first holds once `peer_answer_wait` is over and the set in
+// force is at least as new as every revision that a peer has reported until
+// then. From then on it holds: a serving host keeps serving while it fetches a
+// newer set.
 //
 // Thread safety: none; the control thread owns it and publishes `Current`.
 // Reads no clock.
@@ -19,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -72,8 +74,8 @@
   // Records that a link to a peer is up, or lost.
   void OnPeerLink(const HostIncarnation& peer, bool up);
 
-  // @return whether this host may serve requests
-  bool MayServe(TimePoint now) const;
+  // @return whether this host may serve requests; once true, always true
+  bool MayServe(TimePoint now);
 
   // @return the set in force, or null
   std::shared_ptr<const ObjectSet> Current() const;
@@ -85,12 +87,19 @@
   Revision InForce() const;
 
  private:
+  void RememberRejected(Revision revision);
+
   ConfigurationOptions options_;
   Checker checker_;
   TimePoint started_;
   std::shared_ptr<const ObjectSet> current_;
   ConfigurationDocument document_;
-  Revision highest_rejected_ = 0;
+  // The highest revisions that failed their check, at most
+  // `kMaxRejectedRevisions`.
+  std::set<Revision> rejected_;
+  // The highest revision that any peer has reported.
+  Revision highest_reported_ = 0;
+  bool serves_ = false;
   // Revision that each linked peer has reported; 0 until it reports.
   std::map<HostIncarnation, Revision> peer_revisions_;
 };
