Add the first version of membership and peer links

Cause: the other libraries link against the peer messages, the transport and the membership. Change: codec over nlohmann CBOR with one field list for both directions, challenge and response over HMAC-SHA256 (GnuTLS), websocketpp on Boost.Asio with one I/O thread, membership by link and heartbeat evidence. Ruled out: std::string as the byte container of nlohmann::basic_json does not compile (its overloads for text and bytes coincide). Conclusion: codec round trip, unknown field, unknown kind and one live link pass in peer_test; the rest of the tests follows.

--- /dev/null
+++ b/heatherlatch/membership/membership.cc
@@ -0,0 +1,329 @@
+#include "heatherlatch/membership/membership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "heatherlatch/membership/internal/link_targets.h"
+
+namespace heatherlatch {
+namespace {
+
+using membership_internal::ChooseLinkTargets;
+using membership_internal::LinkCandidate;
+
+bool SamePlace(const HostDescription& a, const HostDescription& b) {
+  return a.incarnation.host == b.incarnation.host ||
+         a.peer_endpoint == b.peer_endpoint;
+}
+
+template <typename Predicate>
+std::vector<HostIncarnation> Select(const MemberView& view,
+                                    Predicate predicate) {
+  std::vector<HostIncarnation> selected;
+  for (const Member& member : view.members) {
+    if (predicate(member)) selected.push_back(member.description.incarnation);
+  }
+  return selected;
+}
+
+}  // namespace
+
+std::vector<HostIncarnation> MemberView::LiveInZone(
+    const ZoneName& zone) const {
+  return Select(*this, [&](const Member& member) {
+    return member.state == MemberState::kLive &&
+           member.description.zone == zone;
+  });
+}
+
+std::vector<HostIncarnation> MemberView::LiveInRegion(
+    const RegionName& region) const {
+  return Select(*this, [&](const Member& member) {
+    return member.state == MemberState::kLive &&
+           member.description.region == region;
+  });
+}
+
+std::vector<HostIncarnation> MemberView::RingOf(
+    const RegionName& region) const {
+  return Select(*this, [&](const Member& member) {
+    return member.state != MemberState::kLeaving &&
+           member.description.region == region;
+  });
+}
+
+const Member* MemberView::Find(const HostIncarnation& incarnation) const {
+  for (const Member& member : members) {
+    if (member.description.incarnation == incarnation) return &member;
+  }
+  return nullptr;
+}
+
+class Membership::State {
+ public:
+  State(HostDescription self, MembershipOptions options, TimePoint now)
+      : self_(std::move(self)), options_(options), advanced_at_(now) {}
+
+  void SetListed(const std::vector<ListedHost>& listed) { listed_ = listed; }
+
+  void OnLinkUp(const HostDescription& peer, TimePoint now) {
+    if (SamePlace(peer, self_)) return;
+    RetireOthersAtPlace(peer, now);
+    const bool has_left = left_.count(peer.incarnation) > 0;
+    if (!has_left) retired_.erase(peer.incarnation);
+    Record(peer, now);
+  }
+
+  void OnHeartbeat(const HostDescription& from, std::uint64_t revision,
+                   TimePoint now) {
+    if (SamePlace(from, self_) || IsHeldByAnother(from)) return;
+    if (IsRetired(from.incarnation)) {
+      RefreshLeaving(from.incarnation, now);
+      return;
+    }
+    Member& member = Record(from, now);
+    if (member.configuration_revision != revision) changed_ = true;
+    member.configuration_revision = revision;
+  }
+
+  void OnLeaving(const HostIncarnation& from, TimePoint now) {
+    left_.insert(from);
+    Retire(from, now);
+    const auto found = peers_.find(from);
+    if (found == peers_.end()) return;
+    SetState(MemberState::kLeaving, &found->second);
+  }
+
+  void LeaveSelf() {
+    changed_ = changed_ || !self_leaving_;
+    self_leaving_ = true;
+  }
+
+  bool Advance(TimePoint now) {
+    if (now - advanced_at_ > options_.pause_threshold) woke_at_ = now;
+    advanced_at_ = std::max(advanced_at_, now);
+    ApplySilence(now);
+    ForgetRetired(now);
+    ForgetWanted(now);
+    return std::exchange(changed_, false);
+  }
+
+  std::shared_ptr<const MemberView> View() const {
+    auto view = std::make_shared<MemberView>();
+    view->self = self_;
+    view->self_leaving = self_leaving_;
+    view->members.reserve(peers_.size() + 1);
+    view->members.push_back(SelfAsMember());
+    for (const auto& [incarnation, member] : peers_) {
+      view->members.push_back(member);
+    }
+    return view;
+  }
+
+  void Wanted(const Endpoint& endpoint, TimePoint now) {
+    if (endpoint == self_.peer_endpoint) return;
+    wanted_[endpoint] = now;
+    if (wanted_.size() <= options_.max_wanted) return;
+    wanted_.erase(std::min_element(
+        wanted_.begin(), wanted_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+
+  std::vector<Endpoint> LinkTargets() const {
+    const std::vector<Endpoint> chosen =
+        ChooseLinkTargets(self_, Candidates(), options_);
+    std::set<Endpoint> targets(chosen.begin(), chosen.end());
+    for (const auto& [endpoint, wanted_at] : wanted_) targets.insert(endpoint);
+    return {targets.begin(), targets.end()};
+  }
+
+ private:
+  bool IsRetired(const HostIncarnation& incarnation) const {
+    return retired_.count(incarnation) > 0;
+  }
+
+  bool IsHeldByAnother(const HostDescription& from) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
+      return peer.first != from.incarnation &&
+             SamePlace(peer.second.description, from);
+    });
+  }
+
+  void Retire(const HostIncarnation& incarnation, TimePoint now) {
+    retired_[incarnation] = now;
+  }
+
+  // Keeps a host that is leaving, but still runs, in the view.
+  void RefreshLeaving(const HostIncarnation& incarnation, TimePoint now) {
+    const auto found = peers_.find(incarnation);
+    if (found == peers_.end()) return;
+    found->second.last_heard = std::max(found->second.last_heard, now);
+    Retire(incarnation, now);
+  }
+
+  void RetireOthersAtPlace(const HostDescription& peer, TimePoint now) {
+    for (auto it = peers_.begin(); it != peers_.end();) {
+      const bool replaced = it->first != peer.incarnation &&
+                            SamePlace(it->second.description, peer);
+      if (!replaced) {
+        ++it;
+        continue;
+      }
+      Retire(it->first, now);
+      it = peers_.erase(it);
+      changed_ = true;
+    }
+  }
+
+  Member& Record(const HostDescription& peer, TimePoint now) {
+    const auto [found, added] = peers_.try_emplace(peer.incarnation);
+    Member& member = found->second;
+    if (added) {
+      changed_ = true;
+      member.description = peer;
+      member.last_heard = now;
+      if (left_.count(peer.incarnation) > 0) {
+        member.state = MemberState::kLeaving;
+      }
+    }
+    member.last_heard = std::max(member.last_heard, now);
+    if (member.state == MemberState::kSuspected) {
+      SetState(MemberState::kLive, &member);
+    }
+    return member;
+  }
+
+  void SetState(MemberState state, Member* member) {
+    if (member->state == state) return;
+    member->state = state;
+    changed_ = true;
+  }
+
+  // @return how long the peer was silent while this process was running
+  Duration Silence(const Member& member, TimePoint now) const {
+    return now - std::max(member.last_heard, woke_at_);
+  }
+
+  void ApplySilence(TimePoint now) {
+    for (auto it = peers_.begin(); it != peers_.end();) {
+      const Duration silence = Silence(it->second, now);
+      if (silence >= options_.remove_after) {
+        it = peers_.erase(it);
+        changed_ = true;
+        continue;
+      }
+      const bool live = it->second.state == MemberState::kLive;
+      if (live && silence >= options_.suspect_after) {
+        SetState(MemberState::kSuspected, &it->second);
+      }
+      ++it;
+    }
+  }
+
+  void ForgetRetired(TimePoint now) {
+    for (auto it = retired_.begin(); it != retired_.end();) {
+      const bool expired = now - it->second >= options_.retired_memory;
+      if (expired) left_.erase(it->first);
+      it = expired ? retired_.erase(it) : std::next(it);
+    }
+  }
+
+  void ForgetWanted(TimePoint now) {
+    for (auto it = wanted_.begin(); it != wanted_.end();) {
+      const bool expired = now - it->second >= options_.wanted_lifetime;
+      it = expired ? wanted_.erase(it) : std::next(it);
+    }
+  }
+
+  Member SelfAsMember() const {
+    Member member;
+    member.description = self_;
+    member.state = self_leaving_ ? MemberState::kLeaving : MemberState::kLive;
+    member.last_heard = advanced_at_;
+    return member;
+  }
+
+  // @return listed hosts that are not leaving and present members, one for
+  //     each endpoint
+  std::vector<LinkCandidate> Candidates() const {
+    std::map<Endpoint, LinkCandidate> candidates;
+    for (const ListedHost& host : listed_) {
+      if (host.leaving) continue;
+      candidates[host.peer_endpoint] = {host.name, host.region, host.zone,
+                                        host.peer_endpoint};
+    }
+    for (const auto& [incarnation, member] : peers_) {
+      if (member.state == MemberState::kLeaving) continue;
+      const HostDescription& peer = member.description;
+      candidates[peer.peer_endpoint] = {incarnation.host, peer.region,
+                                        peer.zone, peer.peer_endpoint};
+    }
+    std::vector<LinkCandidate> others;
+    for (const auto& [endpoint, candidate] : candidates) {
+      const bool self = endpoint == self_.peer_endpoint ||
+                        candidate.name == self_.incarnation.host;
+      if (!self) others.push_back(candidate);
+    }
+    return others;
+  }
+
+  HostDescription self_;
+  MembershipOptions options_;
+  bool self_leaving_ = false;
+  bool changed_ = true;
+  TimePoint advanced_at_;
+  // When this process last went on after a pause.
+  TimePoint woke_at_ = TimePoint::min();
+  std::vector<ListedHost> listed_;
+  std::map<HostIncarnation, Member> peers_;
+  // Incarnations that were replaced or have left, and since when.
+  std::map<HostIncarnation, TimePoint> retired_;
+  // Those of `retired_` that announced their departure.
+  std::set<HostIncarnation> left_;
+  std::map<Endpoint, TimePoint> wanted_;
+};
+
+Membership::Membership(HostDescription self, MembershipOptions options,
+                       TimePoint now)
+    : state_(std::make_unique<State>(std::move(self), options, now)) {}
+
+Membership::~Membership() = default;
+Membership::Membership(Membership&&) noexcept = default;
+Membership& Membership::operator=(Membership&&) noexcept = default;
+
+void Membership::SetListed(const std::vector<ListedHost>& listed, TimePoint) {
+  state_->SetListed(listed);
+}
+
+void Membership::OnLinkUp(const HostDescription& peer, TimePoint now) {
+  state_->OnLinkUp(peer, now);
+}
+
+void Membership::OnHeartbeat(const HostDescription& from,
+                             std::uint64_t configuration_revision,
+                             TimePoint now) {
+  state_->OnHeartbeat(from, configuration_revision, now);
+}
+
+void Membership::OnLeaving(const HostIncarnation& from, TimePoint now) {
+  state_->OnLeaving(from, now);
+}
+
+void Membership::LeaveSelf() { state_->LeaveSelf(); }
+
+bool Membership::Advance(TimePoint now) { return state_->Advance(now); }
+
+std::shared_ptr<const MemberView> Membership::View() const {
+  return state_->View();
+}
+
+void Membership::Wanted(const Endpoint& endpoint, TimePoint now) {
+  state_->Wanted(endpoint, now);
+}
+
+std::vector<Endpoint> Membership::LinkTargets() const {
+  return state_->LinkTargets();
+}
+
+}  // namespace heatherlatch
--- a/heatherlatch/membership/membership.h
+++ b/heatherlatch/membership/membership.h
@@ -4,8 +4,15 @@
 // a host is live while its heartbeats arrive. A host that is silent for
 // `suspect_after` is suspected: it is given no new work, and it keeps its place
 // until `remove_after`, so a short pause moves nothing. A host that announces
-// that it is leaving is taken out at once. A new incarnation at an address
-// replaces the former one.
+// that it is leaving is taken out at once.
+//
+// A place is a host name or a peer endpoint; it is held by one incarnation.
+// Nonces are random, so they do not tell which incarnation is newer. A link
+// does: it is admitted only after the peer has answered a fresh challenge, so
+// the incarnation whose link came up last is the newest at its place
+// (`OnLinkUp`). A heartbeat keeps an incarnation live and may take a free
+// place, but never displaces a holder, and an incarnation that was replaced or
+// has left does not return by a heartbeat.
 //
 // After this process was itself paused for longer than `pause_threshold`
 // (`Advance` is called late), every peer gets a fresh allowance before it is
@@ -77,6 +84,16 @@
   Duration suspect_after = std::chrono::milliseconds(1500);
   Duration remove_after = std::chrono::seconds(5);
   Duration pause_threshold = std::chrono::milliseconds(750);
+  // How long a replaced or departed incarnation is remembered.
+  Duration retired_memory = std::chrono::minutes(2);
+  // Every host links to every other one up to this many hosts in the fleet,
+  // and to every host of its region up to this many hosts in the region.
+  std::size_t full_mesh_hosts = 24;
+  // Links to each zone that is outside the full mesh.
+  std::size_t links_per_zone = 2;
+  // How long a link stays wanted after the last `Wanted` for its endpoint.
+  Duration wanted_lifetime = std::chrono::minutes(1);
+  std::size_t max_wanted = 64;
 };
 
 class Membership {
@@ -89,7 +106,12 @@
   // Takes the platform's list as places to connect to.
   void SetListed(const std::vector<ListedHost>& listed, TimePoint now);
 
-  // Records a heartbeat or a greeting of a peer.
+  // Records that a link to a peer was admitted: proof that this incarnation is
+  // alive now. It takes the place of any other incarnation with its host name
+  // or peer endpoint.
+  void OnLinkUp(const HostDescription& peer, TimePoint now);
+
+  // Records a heartbeat of a peer.
   void OnHeartbeat(const HostDescription& from,
                    std::uint64_t configuration_revision, TimePoint now);
 
@@ -106,7 +128,14 @@
   // @return a snapshot of the present view
   std::shared_ptr<const MemberView> View() const;
 
-  // @return the endpoints that this host should hold a link to
+  // Asks for a link to a host outside the regular targets, such as the issuer
+  // of a ticket or a slot owner, for `wanted_lifetime`.
+  void Wanted(const Endpoint& endpoint, TimePoint now);
+
+  // @return the endpoints that this host should hold a link to, sorted: every
+  //     host of the own zone, the hosts of the full mesh, in each other zone
+  //     the `links_per_zone` hosts that come first in rendezvous order for this
+  //     host, and what is wanted
   std::vector<Endpoint> LinkTargets() const;
 
  private:
--- a/heatherlatch/peer/messages.h
+++ b/heatherlatch/peer/messages.h
@@ -34,7 +34,14 @@
 // Matches an answer to its question on one link; unique for the asker.
 using CallId = std::uint64_t;
 
-// First message on a link, in both directions.
+// First message on a link, in both directions: a fresh random value that the
+// proof in the peer's `Hello` must cover.
+struct Challenge {
+  int protocol_version = kPeerProtocolVersion;
+  std::string nonce;
+};
+
+// Second message on a link, in both directions.
 struct Hello {
   int protocol_version = kPeerProtocolVersion;
   HostDescription from;
@@ -146,10 +153,11 @@
 };
 
 using PeerMessage =
-    std::variant<Hello, Heartbeat, HeartbeatAck, Leaving, ConfigurationRequest,
-                 ConfigurationOffer, AcquireSlot, CancelAcquire, AcquireGranted,
-                 AcquireRefused, ReleaseSlot, ForwardRequest, ForwardReply,
-                 KeyHandOver, KeyHandOverAck, SuspectShared>;
+    std::variant<Challenge, Hello, Heartbeat, HeartbeatAck, Leaving,
+                 ConfigurationRequest, ConfigurationOffer, AcquireSlot,
+                 CancelAcquire, AcquireGranted, AcquireRefused, ReleaseSlot,
+                 ForwardRequest, ForwardReply, KeyHandOver, KeyHandOverAck,
+                 SuspectShared>;
 
 enum class FrameProblem { kTooLarge, kNotCbor, kMissingField, kBadField };
 struct FrameError {
--- /dev/null
+++ b/heatherlatch/peer/transport.cc
@@ -0,0 +1,707 @@
+#include "heatherlatch/peer/transport.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <mutex>
+#include <set>
+#include <shared_mutex>
+#include <thread>
+#include <utility>
+
+#include "heatherlatch/peer/internal/backoff.h"
+#include "heatherlatch/peer/internal/link.h"
+#include "heatherlatch/peer/internal/outbox.h"
+#include "heatherlatch/peer/internal/websocket.h"
+#include "heatherlatch/peer/peer_key.h"
+
+namespace heatherlatch {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using peer_internal::Backoff;
+using peer_internal::Connection;
+using peer_internal::ConnectionPtr;
+using peer_internal::Link;
+using peer_internal::LinkPtr;
+using peer_internal::Outbox;
+using peer_internal::WebsocketClient;
+using peer_internal::WebsocketMessagePtr;
+using peer_internal::WebsocketServer;
+using peer_internal::WireBytes;
+
+// A host that has not proven the key may send no more than a Hello takes.
+constexpr std::size_t kMaxUnprovenFrameBytes = 4096;
+constexpr std::size_t kMaxUnprovenLinks = 256;
+constexpr Duration kStopTimeout = std::chrono::seconds(1);
+constexpr int kSilenceChecks = 5;  // In one `max_silence`.
+// Close codes 4000 to 4999 are free for applications (RFC 6455, 7.4.2).
+constexpr int kFirstCloseCode = 4000;
+
+websocketpp::close::status::value CloseCode(LinkLossReason reason) {
+  return static_cast<websocketpp::close::status::value>(
+      kFirstCloseCode + static_cast<int>(reason));
+}
+
+// @return the reason that the other end gave for closing the link
+LinkLossReason ReasonOfCode(int code) {
+  const int reason = code - kFirstCloseCode;
+  const bool known =
+      reason >= 0 && reason <= static_cast<int>(LinkLossReason::kStopped);
+  return known ? static_cast<LinkLossReason>(reason) : LinkLossReason::kClosed;
+}
+
+Endpoint ToEndpoint(const tcp::endpoint& endpoint) {
+  return {endpoint.address().to_string(), endpoint.port()};
+}
+
+Endpoint RemoteOf(const ConnectionPtr& connection) {
+  boost::system::error_code error;
+  const tcp::endpoint remote =
+      connection->get_raw_socket().remote_endpoint(error);
+  return error ? Endpoint{} : ToEndpoint(remote);
+}
+
+void DisableDelay(const ConnectionPtr& connection) {
+  boost::system::error_code ignored;
+  connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
+}
+
+bool SamePlace(const HostDescription& a, const HostDescription& b) {
+  return a.incarnation.host == b.incarnation.host ||
+         a.peer_endpoint == b.peer_endpoint;
+}
+
+}  // namespace
+
+class PeerTransport::Impl {
+ public:
+  Impl(HostDescription self, TransportOptions options,
+       TransportHandlers handlers)
+      : self_(std::move(self)),
+        options_(std::move(options)),
+        handlers_(std::move(handlers)),
+        work_(asio::make_work_guard(io_)),
+        silence_timer_(io_),
+        stop_timer_(io_) {
+    SetUp(&server_);
+    SetUp(&client_);
+  }
+
+  ~Impl() { Stop(); }
+
+  Result<void> Start();
+  void Stop();
+  Endpoint ListenEndpoint() const { return listen_; }
+  void SetTargets(const std::vector<Endpoint>& targets);
+  SendResult Send(const HostIncarnation& peer, const PeerMessage& message);
+  std::vector<HostIncarnation> LinkedPeers() const;
+  TransportCounters Counters() const;
+
+ private:
+  // An endpoint to keep a link to.
+  struct Target {
+    Target(asio::io_context& io, const TransportOptions& options)
+        : retry(io), backoff(options.reconnect_min, options.reconnect_max) {}
+    asio::steady_timer retry;
+    Backoff backoff;
+  };
+
+  // Set-up.
+  template <typename WebsocketEndpoint>
+  void SetUp(WebsocketEndpoint* endpoint);
+  std::error_code Listen();
+  void RunIo();
+
+  // Events of the websocket library, on the I/O thread.
+  void OnTcpOpen(const websocketpp::connection_hdl& handle);
+  void OnOpen(const websocketpp::connection_hdl& handle);
+  void OnFrame(const websocketpp::connection_hdl& handle,
+               const WebsocketMessagePtr& frame);
+  void OnPong(const websocketpp::connection_hdl& handle);
+  void OnEnd(const websocketpp::connection_hdl& handle);
+
+  // The handshake.
+  void HandleUnproven(const LinkPtr& link, PeerMessage message);
+  void HandleChallenge(const LinkPtr& link, Challenge challenge);
+  void HandleHello(const LinkPtr& link, const Hello& hello);
+  bool IsProven(const LinkPtr& link, const Hello& hello) const;
+  std::string ProofFor(const LinkPtr& link) const;
+  void SendUnproven(const LinkPtr& link, const PeerMessage& message);
+  void Admit(const LinkPtr& link, const HostDescription& peer);
+  bool IsPreferred(const LinkPtr& link, const HostIncarnation& peer) const;
+  void Install(const LinkPtr& link);
+
+  // Ends of links.
+  void HandleFrameError(const LinkPtr& link, const FrameError& error);
+  void Refuse(const LinkPtr& link, LinkLossReason reason,
+              const FrameError* error);
+  void Drop(const LinkPtr& link, LinkLossReason reason);
+  void Close(const LinkPtr& link, LinkLossReason reason);
+  static void Terminate(const ConnectionPtr& connection);
+  void Uninstall(const LinkPtr& link, LinkLossReason reason);
+  static Endpoint TargetOf(const LinkPtr& link);
+  static LinkLossReason EndReason(const LinkPtr& link);
+
+  // Connecting.
+  void ReplaceTargets(const std::set<Endpoint>& targets);
+  void ConnectIfNeeded(const Endpoint& endpoint);
+  void Connect(const Endpoint& endpoint);
+  void RetryLater(const Endpoint& endpoint);
+  bool HasLinkTo(const Endpoint& endpoint) const;
+
+  // Sending, on the I/O thread.
+  void WriteOutbox();
+  void WriteFrame(const LinkPtr& link, const WebsocketMessagePtr& frame);
+
+  // Timed checks.
+  void ScheduleSilenceCheck();
+  void CheckSilence();
+  void CheckLink(const LinkPtr& link, TimePoint now);
+
+  // Stopping.
+  void BeginStop();
+  void EndStopIfIdle();
+
+  LinkPtr FindAdmitted(const HostIncarnation& peer) const;
+  std::vector<LinkPtr> AllLinks() const;
+  std::size_t CountUnproven() const;
+
+  HostDescription self_;
+  TransportOptions options_;
+  TransportHandlers handlers_;
+  Endpoint listen_;
+
+  asio::io_context io_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  WebsocketServer server_;
+  WebsocketClient client_;
+  std::thread thread_;
+  std::once_flag stop_once_;
+  bool started_ = false;
+
+  // Of the I/O thread.
+  std::set<LinkPtr> links_;
+  std::map<Endpoint, Target> targets_;
+  std::mt19937 jitter_{std::random_device()()};
+  asio::steady_timer silence_timer_;
+  asio::steady_timer stop_timer_;
+  bool stopping_ = false;
+
+  Outbox outbox_;
+  mutable std::shared_mutex admitted_mutex_;
+  std::map<HostIncarnation, LinkPtr> admitted_;
+  std::atomic<std::uint64_t> bytes_sent_{0};
+  std::atomic<std::uint64_t> bytes_received_{0};
+  std::atomic<std::uint64_t> messages_sent_{0};
+  std::atomic<std::uint64_t> messages_received_{0};
+};
+
+// Set-up.
+
+template <typename WebsocketEndpoint>
+void PeerTransport::Impl::SetUp(WebsocketEndpoint* endpoint) {
+  endpoint->init_asio(&io_);
+  endpoint->set_max_message_size(kMaxUnprovenFrameBytes);
+  endpoint->set_tcp_post_init_handler(
+      [this](const auto& handle) { OnTcpOpen(handle); });
+  endpoint->set_open_handler([this](const auto& handle) { OnOpen(handle); });
+  endpoint->set_close_handler([this](const auto& handle) { OnEnd(handle); });
+  endpoint->set_fail_handler([this](const auto& handle) { OnEnd(handle); });
+  endpoint->set_pong_handler(
+      [this](const auto& handle, const auto&) { OnPong(handle); });
+  endpoint->set_message_handler([this](const auto& handle, const auto& frame) {
+    OnFrame(handle, frame);
+  });
+}
+
+Result<void> PeerTransport::Impl::Start() {
+  const std::error_code error = Listen();
+  if (error) {
+    return Fail(TransportError{TransportProblem::kListenFailed, options_.listen,
+                               error.message()});
+  }
+  started_ = true;
+  ScheduleSilenceCheck();
+  thread_ = std::thread([this] { RunIo(); });
+  return {};
+}
+
+std::error_code PeerTransport::Impl::Listen() {
+  boost::system::error_code address_error;
+  const auto address =
+      asio::ip::make_address(options_.listen.address, address_error);
+  if (address_error) return std::make_error_code(std::errc::invalid_argument);
+  std::error_code error;
+  server_.set_reuse_addr(true);
+  server_.listen(tcp::endpoint(address, options_.listen.port), error);
+  if (error) return error;
+  boost::system::error_code ignored;
+  listen_ = ToEndpoint(server_.get_local_endpoint(ignored));
+  if (self_.peer_endpoint.port == 0) self_.peer_endpoint.port = listen_.port;
+  server_.start_accept(error);
+  return error;
+}
+
+void PeerTransport::Impl::RunIo() {
+  // The websocket library may throw on input that it does not expect; the
+  // other links go on.
+  while (!io_.stopped()) {
+    try {
+      io_.run();
+    } catch (const websocketpp::exception&) {
+      continue;
+    } catch (const boost::system::system_error&) {
+      continue;
+    }
+  }
+}
+
+// Events of the websocket library.
+
+void PeerTransport::Impl::OnTcpOpen(const websocketpp::connection_hdl& handle) {
+  const auto connection = std::static_pointer_cast<Connection>(handle.lock());
+  if (!connection) return;
+  DisableDelay(connection);
+  if (connection->link) return;
+  if (CountUnproven() >= kMaxUnprovenLinks) return Terminate(connection);
+  connection->link =
+      std::make_shared<Link>(connection, LinkRole::kAccepting,
+                             RemoteOf(connection), SteadyClock::now());
+  links_.insert(connection->link);
+}
+
+void PeerTransport::Impl::OnOpen(const websocketpp::connection_hdl& handle) {
+  const auto connection = std::static_pointer_cast<Connection>(handle.lock());
+  if (!connection || !connection->link) return;
+  SendUnproven(connection->link,
+               Challenge{kPeerProtocolVersion, connection->link->own_nonce()});
+}
+
+void PeerTransport::Impl::OnFrame(const websocketpp::connection_hdl& handle,
+                                  const WebsocketMessagePtr& frame) {
+  const auto connection = std::static_pointer_cast<Connection>(handle.lock());
+  if (!connection || !connection->link) return;
+  const LinkPtr link = connection->link;
+  if (link->closing()) return;
+  link->NoteReceived();
+  bytes_received_ += WireBytes(frame->get_payload().size(), !link->masks());
+  ++messages_received_;
+  boost::leaf::try_handle_all(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(message, DecodeFrame(frame->get_payload()));
+        if (!message) return {};
+        if (!link->admitted()) {
+          HandleUnproven(link, std::move(*message));
+        } else if (handlers_.on_message) {
+          handlers_.on_message(link->peer().incarnation, std::move(*message));
+        }
+        return {};
+      },
+      [&](const FrameError& error) { HandleFrameError(link, error); },
+      [&] { HandleFrameError(link, FrameError{}); });
+}
+
+void PeerTransport::Impl::OnPong(const websocketpp::connection_hdl& handle) {
+  const auto connection = std::static_pointer_cast<Connection>(handle.lock());
+  if (connection && connection->link) connection->link->NoteReceived();
+}
+
+void PeerTransport::Impl::OnEnd(const websocketpp::connection_hdl& handle) {
+  const auto connection = std::static_pointer_cast<Connection>(handle.lock());
+  if (!connection || !connection->link) return;
+  const LinkPtr link = std::exchange(connection->link, nullptr);
+  links_.erase(link);
+  const LinkLossReason reason = EndReason(link);
+  if (link->admitted()) {
+    Uninstall(link, reason);
+  } else if (!link->closing() && reason != LinkLossReason::kClosed &&
+             handlers_.on_refused) {
+    handlers_.on_refused(link->remote(), reason, nullptr);
+  }
+  RetryLater(TargetOf(link));
+  EndStopIfIdle();
+}
+
+Endpoint PeerTransport::Impl::TargetOf(const LinkPtr& link) {
+  return link->role() == LinkRole::kConnecting ? link->remote()
+                                               : link->peer().peer_endpoint;
+}
+
+LinkLossReason PeerTransport::Impl::EndReason(const LinkPtr& link) {
+  if (link->closing()) return *link->closing();
+  const bool oversize = link->connection()->get_ec() ==
+                        websocketpp::processor::error::message_too_big;
+  if (oversize) return LinkLossReason::kBadFrame;
+  return ReasonOfCode(link->connection()->get_remote_close_code());
+}
+
+// The handshake.
+
+void PeerTransport::Impl::HandleUnproven(const LinkPtr& link,
+                                         PeerMessage message) {
+  if (auto* challenge = std::get_if<Challenge>(&message)) {
+    HandleChallenge(link, std::move(*challenge));
+  } else if (const auto* hello = std::get_if<Hello>(&message)) {
+    HandleHello(link, *hello);
+  } else {
+    Refuse(link, LinkLossReason::kKeyNotProven, nullptr);
+  }
+}
+
+void PeerTransport::Impl::HandleChallenge(const LinkPtr& link,
+                                          Challenge challenge) {
+  if (challenge.protocol_version != kPeerProtocolVersion) {
+    return Refuse(link, LinkLossReason::kProtocolVersion, nullptr);
+  }
+  const bool valid =
+      challenge.nonce.size() == kPeerNonceBytes && link->peer_nonce().empty();
+  if (!valid) return Refuse(link, LinkLossReason::kKeyNotProven, nullptr);
+  link->SetPeerNonce(std::move(challenge.nonce));
+  SendUnproven(link, Hello{kPeerProtocolVersion, self_, ProofFor(link)});
+}
+
+std::string PeerTransport::Impl::ProofFor(const LinkPtr& link) const {
+  return MakeKeyProof(options_.keys, {link->role(), link->own_nonce(),
+                                      link->peer_nonce(), self_});
+}
+
+bool PeerTransport::Impl::IsProven(const LinkPtr& link,
+                                   const Hello& hello) const {
+  const LinkRole peer_role = link->role() == LinkRole::kConnecting
+                                 ? LinkRole::kAccepting
+                                 : LinkRole::kConnecting;
+  return !link->peer_nonce().empty() &&
+         CheckKeyProof(
+             options_.keys,
+             {peer_role, link->peer_nonce(), link->own_nonce(), hello.from},
+             hello.key_proof);
+}
+
+void PeerTransport::Impl::HandleHello(const LinkPtr& link, const Hello& hello) {
+  if (hello.protocol_version != kPeerProtocolVersion) {
+    return Refuse(link, LinkLossReason::kProtocolVersion, nullptr);
+  }
+  if (!IsProven(link, hello)) {
+    return Refuse(link, LinkLossReason::kKeyNotProven, nullptr);
+  }
+  if (hello.from.incarnation == self_.incarnation) {
+    return Close(link, LinkLossReason::kClosed);
+  }
+  Admit(link, hello.from);
+}
+
+void PeerTransport::Impl::SendUnproven(const LinkPtr& link,
+                                       const PeerMessage& message) {
+  std::string payload = EncodeFrame(message);
+  link->TryReserve(payload.size(), options_.max_unsent_bytes);
+  WriteFrame(link, link->Frame(std::move(payload)));
+}
+
+bool PeerTransport::Impl::IsPreferred(const LinkPtr& link,
+                                      const HostIncarnation& peer) const {
+  const bool connects = link->role() == LinkRole::kConnecting;
+  return connects == (self_.incarnation < peer);
+}
+
+void PeerTransport::Impl::Admit(const LinkPtr& link,
+                                const HostDescription& peer) {
+  const LinkPtr present = FindAdmitted(peer.incarnation);
+  const bool crossed = present && present->role() != link->role();
+  if (crossed && !IsPreferred(link, peer.incarnation)) {
+    return Close(link, LinkLossReason::kReplaced);
+  }
+  for (const LinkPtr& other : AllLinks()) {
+    const bool replaced =
+        other != link && other->admitted() && SamePlace(other->peer(), peer);
+    if (replaced) Drop(other, LinkLossReason::kReplaced);
+  }
+  link->Admit(peer);
+  Install(link);
+}
+
+void PeerTransport::Impl::Install(const LinkPtr& link) {
+  link->connection()->set_max_message_size(kMaxFrameBytes);
+  {
+    const std::unique_lock<std::shared_mutex> lock(admitted_mutex_);
+    admitted_[link->peer().incarnation] = link;
+  }
+  const auto target = targets_.find(TargetOf(link));
+  if (target != targets_.end()) target->second.backoff.Reset();
+  if (handlers_.on_link_up) handlers_.on_link_up(link->peer());
+}
+
+// Ends of links.
+
+void PeerTransport::Impl::HandleFrameError(const LinkPtr& link,
+                                           const FrameError& error) {
+  if (!link->admitted()) return Refuse(link, LinkLossReason::kBadFrame, &error);
+  if (handlers_.on_refused) {
+    handlers_.on_refused(link->remote(), LinkLossReason::kBadFrame, &error);
+  }
+  Drop(link, LinkLossReason::kBadFrame);
+}
+
+void PeerTransport::Impl::Refuse(const LinkPtr& link, LinkLossReason reason,
+                                 const FrameError* error) {
+  if (handlers_.on_refused) {
+    handlers_.on_refused(link->remote(), reason, error);
+  }
+  Close(link, reason);
+}
+
+void PeerTransport::Impl::Drop(const LinkPtr& link, LinkLossReason reason) {
+  Uninstall(link, reason);
+  Close(link, reason);
+}
+
+void PeerTransport::Impl::Close(const LinkPtr& link, LinkLossReason reason) {
+  if (link->closing()) return;
+  link->SetClosing(reason);
+  std::error_code error;
+  link->connection()->close(CloseCode(reason), "", error);
+  // A connection that is not open yet cannot be closed in order.
+  if (error) Terminate(link->connection());
+}
+
+void PeerTransport::Impl::Terminate(const ConnectionPtr& connection) {
+  connection->terminate(websocketpp::error::make_error_code(
+      websocketpp::error::operation_canceled));
+}
+
+void PeerTransport::Impl::Uninstall(const LinkPtr& link,
+                                    LinkLossReason reason) {
+  {
+    const std::unique_lock<std::shared_mutex> lock(admitted_mutex_);
+    const auto found = admitted_.find(link->peer().incarnation);
+    if (found == admitted_.end() || found->second != link) return;
+    admitted_.erase(found);
+  }
+  if (handlers_.on_link_down) {
+    handlers_.on_link_down(link->peer().incarnation, reason);
+  }
+}
+
+// Connecting.
+
+void PeerTransport::Impl::SetTargets(const std::vector<Endpoint>& targets) {
+  asio::post(
+      io_, [this, wanted = std::set<Endpoint>(targets.begin(), targets.end())] {
+        ReplaceTargets(wanted);
+      });
+}
+
+void PeerTransport::Impl::ReplaceTargets(const std::set<Endpoint>& targets) {
+  if (stopping_) return;
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    it = targets.count(it->first) > 0 ? std::next(it) : targets_.erase(it);
+  }
+  for (const Endpoint& endpoint : targets) {
+    const bool added = targets_.count(endpoint) == 0;
+    if (!added || endpoint == self_.peer_endpoint) continue;
+    targets_.try_emplace(endpoint, io_, options_);
+    ConnectIfNeeded(endpoint);
+  }
+}
+
+bool PeerTransport::Impl::HasLinkTo(const Endpoint& endpoint) const {
+  for (const LinkPtr& link : links_) {
+    if (link->closing()) continue;
+    const bool connecting =
+        link->role() == LinkRole::kConnecting && link->remote() == endpoint;
+    const bool linked =
+        link->admitted() && link->peer().peer_endpoint == endpoint;
+    if (connecting || linked) return true;
+  }
+  return false;
+}
+
+void PeerTransport::Impl::ConnectIfNeeded(const Endpoint& endpoint) {
+  if (stopping_ || targets_.count(endpoint) == 0) return;
+  if (!HasLinkTo(endpoint)) Connect(endpoint);
+}
+
+void PeerTransport::Impl::Connect(const Endpoint& endpoint) {
+  std::error_code error;
+  const ConnectionPtr connection =
+      client_.get_connection("ws://" + ToString(endpoint) + "/", error);
+  if (error) return RetryLater(endpoint);
+  connection->link = std::make_shared<Link>(connection, LinkRole::kConnecting,
+                                            endpoint, SteadyClock::now());
+  links_.insert(connection->link);
+  client_.connect(connection);
+}
+
+void PeerTransport::Impl::RetryLater(const Endpoint& endpoint) {
+  const auto found = targets_.find(endpoint);
+  if (stopping_ || found == targets_.end()) return;
+  Target& target = found->second;
+  target.retry.expires_after(target.backoff.Next(jitter_));
+  target.retry.async_wait([this, endpoint](boost::system::error_code error) {
+    if (!error) ConnectIfNeeded(endpoint);
+  });
+}
+
+// Sending.
+
+SendResult PeerTransport::Impl::Send(const HostIncarnation& peer,
+                                     const PeerMessage& message) {
+  const LinkPtr link = FindAdmitted(peer);
+  if (!link) return SendResult::kNoLink;
+  std::string payload = EncodeFrame(message);
+  const std::size_t size = payload.size();
+  if (size > kMaxFrameBytes) return SendResult::kTooLarge;
+  if (!link->TryReserve(size, options_.max_unsent_bytes)) {
+    return SendResult::kLinkFull;
+  }
+  const bool wake = outbox_.Put({link, link->Frame(std::move(payload))});
+  if (wake) asio::post(io_, [this] { WriteOutbox(); });
+  return SendResult::kSent;
+}
+
+void PeerTransport::Impl::WriteOutbox() {
+  for (const auto& outgoing : outbox_.TakeAll()) {
+    WriteFrame(outgoing.link, outgoing.frame);
+  }
+}
+
+void PeerTransport::Impl::WriteFrame(const LinkPtr& link,
+                                     const WebsocketMessagePtr& frame) {
+  const std::error_code error = link->connection()->send(frame);
+  if (error) return;  // The link has ended.
+  bytes_sent_ += frame->get_header().size() + frame->get_payload().size();
+  ++messages_sent_;
+}
+
+// Timed checks.
+
+void PeerTransport::Impl::ScheduleSilenceCheck() {
+  silence_timer_.expires_after(options_.max_silence / kSilenceChecks);
+  silence_timer_.async_wait([this](boost::system::error_code error) {
+    if (error || stopping_) return;
+    CheckSilence();
+    ScheduleSilenceCheck();
+  });
+}
+
+void PeerTransport::Impl::CheckSilence() {
+  const TimePoint now = SteadyClock::now();
+  for (const LinkPtr& link : AllLinks()) CheckLink(link, now);
+}
+
+void PeerTransport::Impl::CheckLink(const LinkPtr& link, TimePoint now) {
+  if (link->closing()) return;
+  if (!link->admitted()) {
+    const bool late = now - link->opened_at() >= options_.admission_timeout;
+    if (late) Close(link, LinkLossReason::kClosed);
+    return;
+  }
+  const int silent_checks = link->CountSilentCheck();
+  if (silent_checks > kSilenceChecks) {
+    return Drop(link, LinkLossReason::kClosed);
+  }
+  if (silent_checks > 1) {
+    std::error_code ignored;
+    link->connection()->ping("", ignored);
+  }
+}
+
+// Stopping.
+
+void PeerTransport::Impl::Stop() {
+  std::call_once(stop_once_, [this] {
+    if (!started_) return;
+    asio::post(io_, [this] { BeginStop(); });
+    thread_.join();
+    for (const LinkPtr& link : links_) link->connection()->link = nullptr;
+  });
+}
+
+void PeerTransport::Impl::BeginStop() {
+  stopping_ = true;
+  WriteOutbox();
+  std::error_code ignored;
+  server_.stop_listening(ignored);
+  targets_.clear();
+  silence_timer_.cancel();
+  for (const LinkPtr& link : AllLinks()) {
+    if (link->admitted()) Uninstall(link, LinkLossReason::kStopped);
+    Close(link, LinkLossReason::kStopped);
+  }
+  stop_timer_.expires_after(kStopTimeout);
+  stop_timer_.async_wait([this](boost::system::error_code) { io_.stop(); });
+  EndStopIfIdle();
+}
+
+void PeerTransport::Impl::EndStopIfIdle() {
+  if (stopping_ && links_.empty()) io_.stop();
+}
+
+// Queries.
+
+LinkPtr PeerTransport::Impl::FindAdmitted(const HostIncarnation& peer) const {
+  const std::shared_lock<std::shared_mutex> lock(admitted_mutex_);
+  const auto found = admitted_.find(peer);
+  return found == admitted_.end() ? nullptr : found->second;
+}
+
+std::vector<LinkPtr> PeerTransport::Impl::AllLinks() const {
+  return {links_.begin(), links_.end()};
+}
+
+std::size_t PeerTransport::Impl::CountUnproven() const {
+  return std::count_if(links_.begin(), links_.end(), [](const LinkPtr& link) {
+    return !link->admitted() && link->role() == LinkRole::kAccepting;
+  });
+}
+
+std::vector<HostIncarnation> PeerTransport::Impl::LinkedPeers() const {
+  const std::shared_lock<std::shared_mutex> lock(admitted_mutex_);
+  std::vector<HostIncarnation> peers;
+  peers.reserve(admitted_.size());
+  for (const auto& [peer, link] : admitted_) peers.push_back(peer);
+  return peers;
+}
+
+TransportCounters PeerTransport::Impl::Counters() const {
+  return {bytes_sent_, bytes_received_, messages_sent_, messages_received_};
+}
+
+PeerTransport::PeerTransport(HostDescription self, TransportOptions options,
+                             TransportHandlers handlers)
+    : impl_(std::make_shared<Impl>(std::move(self), std::move(options),
+                                   std::move(handlers))) {}
+
+PeerTransport::~PeerTransport() { impl_->Stop(); }
+
+Result<void> PeerTransport::Start() { return impl_->Start(); }
+
+void PeerTransport::Stop() { impl_->Stop(); }
+
+Endpoint PeerTransport::ListenEndpoint() const {
+  return impl_->ListenEndpoint();
+}
+
+void PeerTransport::SetTargets(const std::vector<Endpoint>& targets) {
+  impl_->SetTargets(targets);
+}
+
+SendResult PeerTransport::Send(const HostIncarnation& peer,
+                               const PeerMessage& message) {
+  return impl_->Send(peer, message);
+}
+
+std::vector<HostIncarnation> PeerTransport::LinkedPeers() const {
+  return impl_->LinkedPeers();
+}
+
+TransportCounters PeerTransport::Counters() const { return impl_->Counters(); }
+
+}  // namespace heatherlatch
--- a/heatherlatch/peer/transport.h
+++ b/heatherlatch/peer/transport.h
@@ -1,10 +1,24 @@
 // Links between entry hosts: websockets that carry `PeerMessage` frames.
 //
-// A link is admitted when its `Hello` proves the shared key. Both hosts may
-// connect to one another; the link whose connecting side has the smaller
-// incarnation is kept. A lost link is connected again with a growing, jittered
-// delay. A malformed or oversize frame closes its link and nothing else. What
-// waits to be sent on a link is bounded; above the bound `Send` refuses.
+// A link is admitted when its `Hello` proves the shared key (peer_key.h). Both
+// hosts may connect to one another; the link whose connecting side has the
+// smaller incarnation is kept, and of two links with the same connecting side
+// the later one. A link to another incarnation at the same host name or peer
+// endpoint is closed when a newer one is admitted. Whatever was sent on a link
+// that went down may be lost, also where another link takes its place: the
+// peer then goes down (`kReplaced`) and up again.
+//
+// A lost link is connected again with a growing, jittered delay. A link on
+// which nothing arrives for `max_silence` is closed; an idle link is kept alive
+// by websocket pings. A malformed or oversize frame closes its link and nothing
+// else. What waits to be sent on a link is bounded; above the bound `Send`
+// refuses.
+//
+// Example:
+//   PeerTransport transport(self, options, handlers);
+//   Result<void> started = transport.Start();
+//   transport.SetTargets(membership.LinkTargets());
+//   SendResult sent = transport.Send(owner, AcquireSlot{...});
 //
 // One I/O thread runs all links and every handler. Handlers must not block.
 //
@@ -25,7 +39,12 @@
 
 namespace heatherlatch {
 
-enum class SendResult { kSent, kNoLink, kLinkFull };
+enum class SendResult {
+  kSent,  // Queued; it may still be lost with its link.
+  kNoLink,
+  kLinkFull,
+  kTooLarge,  // The frame would exceed `kMaxFrameBytes`.
+};
 
 enum class LinkLossReason {
   kClosed,
@@ -45,13 +64,16 @@
 
 struct TransportOptions {
   Endpoint listen;
-  // Accepted keys, newest first. The first one signs; all are accepted, so a
-  // key is rotated by publishing the new one on every host before the old one
-  // is removed.
+  // Shared keys, newest first, at most `kMaxPeerKeys`. A link is admitted where
+  // the two hosts have a key in common, so a key is rotated host by host: the
+  // new one is added everywhere before the old one is removed anywhere.
   std::vector<std::string> keys;
   Duration reconnect_min = std::chrono::milliseconds(100);
   Duration reconnect_max = std::chrono::seconds(2);
   std::size_t max_unsent_bytes = 16 * 1024 * 1024;  // For each link.
+  // A connection that is not admitted within this time is closed.
+  Duration admission_timeout = std::chrono::seconds(5);
+  Duration max_silence = std::chrono::seconds(5);
 };
 
 struct TransportHandlers {
@@ -60,7 +82,8 @@
       on_link_down;
   std::function<void(const HostIncarnation& peer, PeerMessage message)>
       on_message;
-  // A link or connection was refused before it was admitted.
+  // A link was refused before it was admitted, or received a malformed frame.
+  // `error` says what was wrong with the frame; null for other reasons.
   std::function<void(const Endpoint& remote, LinkLossReason reason,
                      const FrameError* error)>
       on_refused;
@@ -85,9 +108,13 @@
   // @return TransportError where the endpoint cannot be listened on
   Result<void> Start();
 
-  // Closes every link and ends the I/O thread.
+  // Sends what is queued, closes every link and ends the I/O thread.
   void Stop();
 
+  // @return the endpoint that is listened on, with the port that the system
+  //     chose where the options have port 0; valid after `Start`
+  Endpoint ListenEndpoint() const;
+
   // Replaces the endpoints to keep a link to. Links to others stay until they
   // are lost.
   void SetTargets(const std::vector<Endpoint>& targets);
