--- /dev/null
+++ b/standins/backend/main.cc
@@ -0,0 +1,67 @@
+// standin-backend: many stand-in backend servers in one process.
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "standins/backend/backend_fleet.h"
+#include "standins/common/stop_signal.h"
+
+namespace {
+
+using heatherlatch::standins::BackendFleet;
+using heatherlatch::standins::BackendFleetOptions;
+using heatherlatch::standins::FleetProblem;
+
+constexpr int kExitBadFleet = 1;
+constexpr int kExitCannotListen = 2;
+constexpr const char* kDescription =
+    "Stands in for backend servers: one port each, in one process.\n"
+    "Example: standin-backend --fleet fleet.yaml\n"
+    "with fleet.yaml:\n"
+    "  control_port: 9100\n"
+    "  groups:\n"
+    "    - {name: tally, count: 20, first_port: 9101, slots: 3}\n"
+    "docs/STAND-INS.md lists every field and the control calls.\n"
+    "Exit codes: 0 after SIGTERM, 1 for a bad fleet file, 2 when a port cannot "
+    "be used, others for wrong options.";
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  heatherlatch::standins::BlockStopSignals();
+  std::string fleet_path;
+  CLI::App app(kDescription, "standin-backend");
+  app.set_version_flag("--version", HEATHERLATCH_VERSION);
+  app.add_option("--fleet", fleet_path, "YAML file of the servers")
+      ->required()
+      ->check(CLI::ExistingFile);
+  CLI11_PARSE(app, argc, argv);
+
+  auto read = heatherlatch::standins::ReadFleet(ReadFile(fleet_path));
+  if (const auto* problem = std::get_if<FleetProblem>(&read)) {
+    std::cerr << fleet_path << ": " << problem->text << std::endl;
+    return kExitBadFleet;
+  }
+  auto& options = std::get<BackendFleetOptions>(read);
+  const auto control = options.control;
+  const std::size_t servers = options.servers.size();
+  BackendFleet fleet(std::move(options));
+  if (const auto problem = fleet.Start()) {
+    std::cerr << "cannot listen on " << problem->endpoint << std::endl;
+    return kExitCannotListen;
+  }
+  std::cout << "listening on " << control << " for control, " << servers
+            << " servers" << std::endl;
+  heatherlatch::standins::WaitForStopSignal();
+  return 0;
+}
