Wire key ring hand-over, crash suspects and link evidence into the entry process

The key ring is started with the first configuration, because its quiet period follows from the published resend window and deadlines. A key is judged and its run begun under one lock.

--- a/heatherlatch/entry/control_loop.cc
+++ b/heatherlatch/entry/control_loop.cc
@@ -22,6 +22,8 @@
 // Hosts of a zone that read the platform for all of them.
 constexpr std::size_t kReadersOfZone = 2;
 constexpr std::size_t kHeartbeatsRemembered = 64;
+// A hand-over that was not acknowledged is sent again after this time.
+constexpr auto kHandOverInterval = std::chrono::milliseconds(500);
 // Records of keys that one message hands over.
 constexpr std::size_t kKeysInMessage = 500;
 
@@ -39,6 +41,17 @@
   return rejected;
 }
 
+// Time after which no repeat of a request can still arrive or run: the resend
+// window, the longest deadline, and slack for support and clocks.
+Duration QuietPeriodOf(const ObjectSet& objects) {
+  constexpr auto kSlack = std::chrono::seconds(4);
+  Duration longest{};
+  for (const Route& route : objects.routes) {
+    if (!route.idempotent) longest = std::max(longest, route.deadline);
+  }
+  return objects.limits.resend_window + longest + kSlack;
+}
+
 }  // namespace
 
 // Handles the messages that concern control state. Runs on the control thread.
@@ -88,15 +101,16 @@
   }
 
   void operator()(const KeyHandOver& message) {
-    loop_->parts_.executor->OnHandOver(message, now_);
-    if (!message.last) return;
+    if (!loop_->parts_.executor->OnHandOver(message, now_)) return;
     loop_->parts_.log->Write(EventId::kKeysTakenOver,
                              {{"from", ToString(message.from)}});
     loop_->parts_.transport->Send(peer_,
                                   KeyHandOverAck{loop_->self_.incarnation});
   }
 
-  void operator()(const KeyHandOverAck&) {}
+  void operator()(const KeyHandOverAck&) {
+    loop_->parts_.executor->OnHandOverAcked(peer_);
+  }
 
   void operator()(const SuspectShared& message) {
     loop_->parts_.dispatcher->OnSuspect(message.notice);
@@ -156,12 +170,10 @@
   });
   announced.get_future().wait();
   parts_.executor->StopKeys(deadline);
-  std::promise<void> handed_over;
-  Post([&] {
-    HandOverKeys();
-    handed_over.set_value();
-  });
-  handed_over.get_future().wait();
+  while (!parts_.executor->HandOverDue().empty() &&
+         SteadyClock::now() < deadline) {
+    std::this_thread::sleep_for(kTick);
+  }
 }
 
 void ControlLoop::Post(std::function<void()> task) {
@@ -175,7 +187,7 @@
 void ControlLoop::OnLinkUp(const HostDescription& peer) {
   Post([this, peer] {
     linked_.insert(peer.incarnation);
-    membership_.OnHeartbeat(peer, 0, SteadyClock::now());
+    membership_.OnLinkUp(peer, SteadyClock::now());
     keeper_.OnPeerLink(peer.incarnation, true);
     next_heartbeat_ = SteadyClock::now();
     changed_ = true;
@@ -251,6 +263,7 @@
   }
   UpdateRing(now);
   if (now >= next_heartbeat_) SendHeartbeats(now);
+  if (now >= next_hand_over_) HandOverKeys(now);
   PublishSnapshot(now);
 }
 
@@ -282,6 +295,11 @@
   if (leaving != leaving_servers_) changed_ = true;
   leaving_servers_ = std::move(leaving);
   membership_.SetListed(list.hosts, now);
+  std::vector<HostIncarnation> listed;
+  for (const ListedHost& host : list.hosts) {
+    if (host.region == self_.region) listed.push_back({host.name, 0});
+  }
+  parts_.executor->NoteListed(listed, now);
   parts_.transport->SetTargets(membership_.LinkTargets());
 }
 
@@ -321,7 +339,7 @@
   if (linked_.empty() && asked_at >= paused_until_) in_doubt_ = false;
 }
 
-bool ControlLoop::MayServe(TimePoint now) const {
+bool ControlLoop::MayServe(TimePoint now) {
   if (!keeper_.MayServe(now)) return false;
   const auto view = membership_.View();
   const bool knows_peers = view->members.size() > 1 || !linked_.empty();
@@ -339,12 +357,12 @@
   constexpr double kBitsPerByte = 8;
   parts_.accounts->SetBudget(bits / kBitsPerByte / static_cast<double>(hosts));
   parts_.dispatcher->SetRetryShare(objects->limits.retry_share);
+  parts_.executor->ConfigureKeys(QuietPeriodOf(*objects), SteadyClock::now());
 }
 
 void ControlLoop::UpdateRing(TimePoint now) {
   const auto view = membership_.View();
-  const std::vector<HostIncarnation> ring = view->RingOf(self_.region);
-  parts_.executor->SetRing(ring, ring, now);
+  parts_.executor->SetRing(view->RingOf(self_.region), now);
 }
 
 void ControlLoop::PublishSnapshot(TimePoint now) {
@@ -382,31 +400,29 @@
   }
 }
 
-void ControlLoop::HandOverKeys() {
-  const auto view = membership_.View();
-  const std::vector<HostIncarnation> heirs = view->LiveInRegion(self_.region);
-  std::map<HostIncarnation, std::vector<KeyRecord>> shares;
-  for (const HostIncarnation& heir : heirs) shares[heir];
-  for (KeyRecord& record : parts_.executor->ExportKeys(SteadyClock::now())) {
-    const auto heir = RendezvousOwner(ToString(RequestKey(record.key)), heirs);
-    if (heir) shares[*heir].push_back(std::move(record));
-  }
-  for (auto& [heir, records] : shares) {
-    for (std::size_t first = 0; first < records.size();
-         first += kKeysInMessage) {
-      const std::size_t end = std::min(records.size(), first + kKeysInMessage);
-      KeyHandOver message;
-      message.from = self_.incarnation;
-      message.records.assign(records.begin() + first, records.begin() + end);
-      parts_.transport->Send(heir, message);
-    }
-    KeyHandOver last;
-    last.from = self_.incarnation;
-    last.last = true;
-    parts_.transport->Send(heir, last);
-  }
+void ControlLoop::HandOverKeys(TimePoint now) {
+  const std::vector<HostIncarnation> due = parts_.executor->HandOverDue();
+  if (due.empty()) return;
+  next_hand_over_ = now + kHandOverInterval;
+  for (const HostIncarnation& heir : due) SendKeys(heir);
   parts_.log->Write(EventId::kKeysHandedOver,
-                    {{"heirs", std::to_string(heirs.size())}});
+                    {{"heirs", std::to_string(due.size())}});
+}
+
+void ControlLoop::SendKeys(const HostIncarnation& heir) {
+  const std::vector<KeyRecord> records =
+      parts_.executor->ExportKeys(SteadyClock::now());
+  for (std::size_t first = 0; first < records.size(); first += kKeysInMessage) {
+    const std::size_t end = std::min(records.size(), first + kKeysInMessage);
+    KeyHandOver message;
+    message.from = self_.incarnation;
+    message.records.assign(records.begin() + first, records.begin() + end);
+    parts_.transport->Send(heir, message);
+  }
+  KeyHandOver last;
+  last.from = self_.incarnation;
+  last.last = true;
+  parts_.transport->Send(heir, last);
 }
 
 void ControlLoop::WatchConfiguration() {
--- a/heatherlatch/entry/control_loop.h
+++ b/heatherlatch/entry/control_loop.h
@@ -97,13 +97,13 @@
   void OnPeerRevision(const HostIncarnation& peer, Revision revision);
   void NotePeerContact(TimePoint asked_at);
   void NotePlatformContact(TimePoint asked_at);
-  bool MayServe(TimePoint now) const;
+  bool MayServe(TimePoint now);
   void ApplyLimits();
   void UpdateRing(TimePoint now);
   void PublishSnapshot(TimePoint now);
   void ReportMetrics(TimePoint now);
-  void HandOverKeys();
-  std::set<HostIncarnation> LinkedPeers() const;
+  void HandOverKeys(TimePoint now);
+  void SendKeys(const HostIncarnation& heir);
 
   void WatchConfiguration();
   void ReadLists();
@@ -123,6 +123,7 @@
   std::deque<SentHeartbeat> sent_heartbeats_;
   std::uint64_t next_sequence_ = 1;
   TimePoint next_heartbeat_;
+  TimePoint next_hand_over_;
   TimePoint last_tick_;
   TimePoint last_contact_;
   TimePoint last_platform_read_;
--- a/heatherlatch/entry/dispatcher.cc
+++ b/heatherlatch/entry/dispatcher.cc
@@ -201,7 +201,7 @@
   need.cancelled = sink.cancelled;
   SlotResult slot = slots_->Acquire(need);
   if (const auto* not_run = std::get_if<NotRun>(&slot)) {
-    EndContent(request, digest, /*server_lost=*/false);
+    EndWithoutAnswer(request, digest);
     LogRefusal(request, not_run->reason);
     return Attempt{*not_run, false};
   }
@@ -220,11 +220,16 @@
   result->backend_time += call.total;
   accounts_->Count(lease.region(), request.body.size() + call.body_bytes);
   const bool server_lost = IsServerLost(call);
-  EndContent(request, digest, server_lost);
+  const bool answered = std::holds_alternative<BackendAnswered>(call.end);
+  if (server_lost || answered) {
+    EndContent(request, digest, server_lost);
+  } else {
+    EndWithoutAnswer(request, digest);
+  }
   if (server_lost) backend_->ForgetConnections(lease.grant().endpoint);
   excluded->push_back(lease.grant().server);
-  if (const auto* answered = std::get_if<BackendAnswered>(&call.end)) {
-    result->status = answered->status;
+  if (answered) {
+    result->status = std::get<BackendAnswered>(call.end).status;
     std::lock_guard lock(mutex_);
     retries_.OnSuccess();
   }
@@ -284,6 +289,12 @@
   share_(notice, request.homes);
 }
 
+void Dispatcher::EndWithoutAnswer(const DispatchRequest& request,
+                                  ContentDigest digest) {
+  std::lock_guard lock(mutex_);
+  suspects_.OnEndWithoutAnswer(request.service->name, digest);
+}
+
 bool Dispatcher::TakeRetry() {
   std::lock_guard lock(mutex_);
   return retries_.TryRetry();
--- a/heatherlatch/entry/dispatcher.h
+++ b/heatherlatch/entry/dispatcher.h
@@ -95,6 +95,7 @@
   bool MayStillCall(const SlotLease& lease) const;
   void EndContent(const DispatchRequest& request, ContentDigest digest,
                   bool server_lost);
+  void EndWithoutAnswer(const DispatchRequest& request, ContentDigest digest);
   bool TakeRetry();
   void LogRefusal(const DispatchRequest& request, NotRunReason reason);
 
--- a/heatherlatch/entry/entry_host.cc
+++ b/heatherlatch/entry/entry_host.cc
@@ -253,7 +253,7 @@
 
   bool IsReady() const { return !leaving_ && snapshots_.Get()->may_serve; }
 
-  std::string Status() const {
+  std::string Status() {
     HostStatusInputs inputs;
     inputs.self = self_;
     inputs.snapshot = snapshots_.Get();
--- a/heatherlatch/entry/executor.cc
+++ b/heatherlatch/entry/executor.cc
@@ -19,6 +19,20 @@
 // How often `StopKeys` looks whether the runs have ended.
 constexpr auto kStopPollInterval = std::chrono::milliseconds(10);
 
+// Longest time that the answer to a heartbeat counts as support. Two heartbeats
+// may be lost; it is also how long keys wait after each change of the ring.
+constexpr auto kSupportLifetime = std::chrono::milliseconds(1200);
+// Retry hint before the key ring has been configured.
+constexpr auto kKeysNotConfiguredRetry = std::chrono::seconds(5);
+
+// The text that a backend server gets as the request's key.
+std::string KeyForServer(const RequestKey& key) {
+  if (const auto* caller_key = std::get_if<CallerKey>(&key)) {
+    return caller_key->key;
+  }
+  return ToString(std::get<Ticket>(key));
+}
+
 ExecutionResult UnknownResult(UnknownReason reason) {
   ExecutionResult result;
   result.outcome = Unknown{reason};
@@ -73,119 +87,94 @@
       transport_(transport),
       log_(log),
       metrics_(metrics),
-      executions_(self_.incarnation, ExecutionLogOptions{}),
-      ring_(self_.incarnation, KeyRingOptions{}, SteadyClock::now()) {}
+      executions_(self_.incarnation, ExecutionLogOptions{}) {}
 
 ExecutionResult Executor::Execute(ExecutionRequest request) {
-  ExecutionResult result;
-  if (const auto* ticket = std::get_if<Ticket>(&request.key)) {
-    const HostIncarnation issuer = ticket->issuer;
-    const bool is_own = issuer == self_.incarnation;
-    result = is_own ? ExecuteHere(request) : Forward(issuer, request);
-  } else {
-    result = ExecuteKey(request);
-  }
-  if (std::holds_alternative<Unknown>(result.outcome)) {
-    LogUnknown(request, result);
-  }
-  return result;
+  return ExecuteOrForward(std::move(request), /*may_forward=*/true);
 }
 
-ExecutionResult Executor::ExecuteKey(const ExecutionRequest& request) {
-  const auto& key = std::get<CallerKey>(request.key);
+ExecutionResult Executor::ExecuteForwarded(ExecutionRequest request) {
+  return ExecuteOrForward(std::move(request), /*may_forward=*/false);
+}
+
+ExecutionResult Executor::ExecuteOrForward(ExecutionRequest request,
+                                           bool may_forward) {
+  request.dispatch.request_key = KeyForServer(request.key);
+  request.dispatch.body = request.body;
+  const ContentDigest digest =
+      DigestOf(request.dispatch.method, request.dispatch.target, request.body);
+  ExecutionResult result;
   while (true) {
-    const auto snapshot = snapshots_->Get();
-    const KeyVerdict verdict = JudgeKey(key, request.dispatch.homes, *snapshot);
-    if (std::holds_alternative<RunHere>(verdict)) return ExecuteHere(request);
-    if (const auto* forward = std::get_if<ForwardTo>(&verdict)) {
-      return Forward(forward->owner, request);
+    const Decision decision = TryBegin(request, digest);
+    TimePoint retry_at = SteadyClock::now();
+    if (const auto* forward = std::get_if<ForwardTo>(&decision)) {
+      if (may_forward) {
+        result = Forward(forward->owner, request);
+        break;
+      }
+      result = UnknownResult(UnknownReason::kOwnershipNotProven);
+      retry_at += kProofPollInterval;
+    } else if (const auto* unproven = std::get_if<NotProven>(&decision)) {
+      result = UnknownResult(UnknownReason::kOwnershipNotProven);
+      result.retry_after = unproven->retry_after;
+      retry_at += kProofPollInterval;
+    } else {
+      const auto& begun = std::get<BeginResult>(decision);
+      if (std::holds_alternative<StartRun>(begun)) {
+        result = Run(request);
+        break;
+      }
+      result = AnswerOf(begun);
+      if (!std::holds_alternative<Running>(begun)) break;
+      retry_at += kRunningPollInterval;
     }
-    const Duration retry_after = std::get<NotProven>(verdict).retry_after;
-    const TimePoint retry_at = SteadyClock::now() + kProofPollInterval;
     const bool gone = request.cancelled && request.cancelled();
-    const bool too_late =
-        SteadyClock::now() + retry_after >= request.dispatch.deadline ||
-        retry_at >= request.dispatch.deadline;
-    if (gone || too_late) {
-      ExecutionResult result = UnknownResult(UnknownReason::kOwnershipNotProven);
-      result.retry_after = retry_after;
-      log_->Write(EventId::kKeyNotProven,
-                  {{"request", request.dispatch.request_id}});
-      return result;
-    }
-    // A proof that comes within the deadline is worth the wait.
+    // A proof or an answer that comes within the deadline is worth the wait.
+    if (gone || retry_at >= request.dispatch.deadline) break;
     std::this_thread::sleep_until(retry_at);
   }
+  if (std::holds_alternative<Unknown>(result.outcome)) {
+    LogUnknown(request, result);
+  }
+  return result;
 }
 
-ExecutionResult Executor::ExecuteForwarded(ExecutionRequest request) {
-  if (const auto* ticket = std::get_if<Ticket>(&request.key)) {
-    if (ticket->issuer != self_.incarnation) {
-      return UnknownResult(UnknownReason::kExecutorGone);
-    }
-    return ExecuteHere(std::move(request));
-  }
-  const auto snapshot = snapshots_->Get();
-  const KeyVerdict verdict = JudgeKey(std::get<CallerKey>(request.key),
-                                      request.dispatch.homes, *snapshot);
-  if (std::holds_alternative<RunHere>(verdict)) {
-    return ExecuteHere(std::move(request));
+Executor::Decision Executor::TryBegin(const ExecutionRequest& request,
+                                      ContentDigest digest) {
+  const TimePoint now = SteadyClock::now();
+  std::lock_guard lock(mutex_);
+  const auto* key = std::get_if<CallerKey>(&request.key);
+  if (key == nullptr) {
+    const Ticket& ticket = std::get<Ticket>(request.key);
+    if (ticket.issuer != self_.incarnation) return ForwardTo{ticket.issuer};
+    return executions_.Begin(request.key, digest, now);
   }
-  ExecutionResult result = UnknownResult(UnknownReason::kOwnershipNotProven);
+  const KeyVerdict verdict = JudgeKey(*key, request.dispatch.homes);
+  if (const auto* forward = std::get_if<ForwardTo>(&verdict)) return *forward;
   if (const auto* unproven = std::get_if<NotProven>(&verdict)) {
-    result.retry_after = unproven->retry_after;
+    return *unproven;
   }
-  return result;
+  BeginResult begun = executions_.Begin(request.key, digest, now);
+  if (std::holds_alternative<StartRun>(begun)) ++key_runs_;
+  return begun;
 }
 
 KeyVerdict Executor::JudgeKey(const CallerKey& key,
-                              const std::vector<RegionName>& homes,
-                              const HostSnapshot& snapshot) {
-  // Only the ring of one region may run a key, so the same region is chosen at
-  // every host: the first home region.
+                              const std::vector<RegionName>& homes) {
+  // Only the ring of one region may run a key, so every host has to choose the
+  // same region: the first home region.
   const RegionName& region = homes.front();
-  bool stopped = false;
-  {
-    std::lock_guard lock(mutex_);
-    stopped = keys_stopped_;
+  if (region == self_.region && !keys_stopped_) {
+    if (!ring_) return NotProven{kKeysNotConfiguredRetry};
+    return ring_->Judge(key, SteadyClock::now());
   }
-  if (region != self_.region || stopped) {
-    const auto guess = RendezvousOwner(ToString(RequestKey(key)),
-                                       snapshot.members->LiveInRegion(region));
-    if (!guess) return NotProven{};
-    return ForwardTo{*guess};
-  }
-  std::lock_guard lock(mutex_);
-  return ring_.Judge(key, SteadyClock::now());
-}
-
-ExecutionResult Executor::ExecuteHere(ExecutionRequest request) {
-  request.dispatch.request_key = ToString(request.key);
-  if (const auto* key = std::get_if<CallerKey>(&request.key)) {
-    request.dispatch.request_key = key->key;
-  }
-  request.dispatch.body = request.body;
-  const ContentDigest digest =
-      DigestOf(request.dispatch.method, request.dispatch.target, request.body);
-  const bool is_key = std::holds_alternative<CallerKey>(request.key);
-  while (true) {
-    BeginResult begun = LogFull{};
-    {
-      std::lock_guard lock(mutex_);
-      if (is_key && keys_stopped_) {
-        return UnknownResult(UnknownReason::kOwnershipNotProven);
-      }
-      begun = executions_.Begin(request.key, digest, SteadyClock::now());
-      if (is_key && std::holds_alternative<StartRun>(begun)) ++key_runs_;
-    }
-    if (std::holds_alternative<StartRun>(begun)) return Run(request);
-    if (!std::holds_alternative<Running>(begun)) return AnswerOf(begun);
-    const bool gone = request.cancelled && request.cancelled();
-    if (gone || SteadyClock::now() >= request.dispatch.deadline) {
-      return UnknownResult(UnknownReason::kStillRunning);
-    }
-    std::this_thread::sleep_for(kRunningPollInterval);
+  const auto snapshot = snapshots_->Get();
+  const auto owner = RendezvousOwner(ToString(RequestKey(key)),
+                                     snapshot->members->LiveInRegion(region));
+  if (!owner || *owner == self_.incarnation) {
+    return NotProven{kKeysNotConfiguredRetry};
   }
+  return ForwardTo{*owner};
 }
 
 ExecutionResult Executor::Run(const ExecutionRequest& request) {
@@ -196,6 +185,7 @@
   result.outcome = dispatched.outcome;
   result.backend_time = dispatched.backend_time;
   if (std::holds_alternative<Ran>(dispatched.outcome)) {
+    // Both are kept with the answer, so a repeat names them too.
     collector.answer()->headers.emplace_back("Heatherlatch-Server",
                                              dispatched.server.str());
     collector.answer()->headers.emplace_back("Heatherlatch-Zone",
@@ -312,28 +302,46 @@
   calls_.LosePeer(peer);
 }
 
+void Executor::ConfigureKeys(Duration quiet_period, TimePoint now) {
+  std::lock_guard lock(mutex_);
+  if (ring_ && quiet_period == quiet_period_) return;
+  quiet_period_ = quiet_period;
+  KeyRingOptions options;
+  options.support_lifetime = kSupportLifetime;
+  options.quiet_period = quiet_period;
+  ring_.emplace(self_.incarnation, options, now);
+  ring_->SetMembers(ring_members_, now);
+  if (!listed_.empty()) ring_->NoteListed(listed_, now);
+}
+
 void Executor::SetRing(const std::vector<HostIncarnation>& members,
-                       const std::vector<HostIncarnation>& listed,
                        TimePoint now) {
   std::lock_guard lock(mutex_);
-  ring_.SetMembers(members, now);
-  ring_.NoteListed(listed, now);
+  ring_members_ = members;
+  if (ring_) ring_->SetMembers(members, now);
+}
+
+void Executor::NoteListed(const std::vector<HostIncarnation>& listed,
+                          TimePoint now) {
+  std::lock_guard lock(mutex_);
+  listed_ = listed;
+  if (ring_) ring_->NoteListed(listed, now);
 }
 
 void Executor::OnSupport(const HostIncarnation& peer, std::uint64_t ring,
                          TimePoint asked_at) {
   std::lock_guard lock(mutex_);
-  ring_.OnSupport(peer, ring, asked_at);
+  if (ring_) ring_->OnSupport(peer, ring, asked_at);
 }
 
 std::uint64_t Executor::SupportedRing(TimePoint now) const {
   std::lock_guard lock(mutex_);
-  return keys_stopped_ ? 0 : ring_.SupportedRing(now);
+  return ring_ ? ring_->SupportedRing(now) : 0;
 }
 
-bool Executor::HasMajority(TimePoint now) const {
+bool Executor::HasMajority(TimePoint now) {
   std::lock_guard lock(mutex_);
-  return ring_.HasMajority(now);
+  return ring_ && ring_->HasMajority(now);
 }
 
 void Executor::Expire(TimePoint now) {
@@ -342,26 +350,43 @@
 }
 
 void Executor::StopKeys(TimePoint deadline) {
-  while (true) {
+  {
+    std::lock_guard lock(mutex_);
+    keys_stopped_ = true;
+    if (ring_) ring_->Leave(SteadyClock::now());
+  }
+  while (SteadyClock::now() < deadline) {
     {
       std::lock_guard lock(mutex_);
-      keys_stopped_ = true;
       if (key_runs_ == 0) return;
     }
-    if (SteadyClock::now() >= deadline) return;
     std::this_thread::sleep_for(kStopPollInterval);
   }
 }
 
+std::vector<HostIncarnation> Executor::HandOverDue() const {
+  std::lock_guard lock(mutex_);
+  return ring_ ? ring_->HandOverDue() : std::vector<HostIncarnation>();
+}
+
 std::vector<KeyRecord> Executor::ExportKeys(TimePoint now) const {
   std::lock_guard lock(mutex_);
   return executions_.ExportKeys(now);
 }
 
-void Executor::OnHandOver(const KeyHandOver& message, TimePoint now) {
+void Executor::OnHandOverAcked(const HostIncarnation& peer) {
   std::lock_guard lock(mutex_);
-  executions_.ImportKeys(message.records, now);
-  if (message.last) ring_.OnHandOver(message.from, now);
+  if (ring_) ring_->OnHandOverAcked(peer);
+}
+
+bool Executor::OnHandOver(const KeyHandOver& message, TimePoint now) {
+  std::lock_guard lock(mutex_);
+  if (!executions_.ImportKeys(message.records, now)) {
+    failed_imports_.insert(message.from);
+  }
+  if (!message.last) return false;
+  const bool complete = failed_imports_.erase(message.from) == 0;
+  return complete && ring_ && ring_->OnHandOver(message.from, now);
 }
 
 void Executor::LogUnknown(const ExecutionRequest& request,
--- a/heatherlatch/entry/executor.h
+++ b/heatherlatch/entry/executor.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,33 +64,46 @@
   void OnForwardReply(const HostIncarnation& peer, ForwardReply reply);
   void OnLinkDown(const HostIncarnation& peer);
 
+  // Starts the key ring, or starts it anew where the period has changed.
+  // @param quiet_period  see `KeyRingOptions`
+  void ConfigureKeys(Duration quiet_period, TimePoint now);
+
   // State of the key ring, driven by the control thread.
-  void SetRing(const std::vector<HostIncarnation>& members,
-               const std::vector<HostIncarnation>& listed, TimePoint now);
+  void SetRing(const std::vector<HostIncarnation>& members, TimePoint now);
+  // @param listed  hosts of the region in the platform's list
+  void NoteListed(const std::vector<HostIncarnation>& listed, TimePoint now);
   void OnSupport(const HostIncarnation& peer, std::uint64_t ring,
                  TimePoint asked_at);
   std::uint64_t SupportedRing(TimePoint now) const;
-  bool HasMajority(TimePoint now) const;
+  bool HasMajority(TimePoint now);
   void Expire(TimePoint now);
 
-  // Stops running requests under callers' keys; they are forwarded from now on.
+  // Ends the right to run requests under callers' keys; they are forwarded from
+  // now on.
   // @return after the runs in progress have ended, or `deadline`
   void StopKeys(TimePoint deadline);
 
+  // @return hosts that have to get the records of this host
+  std::vector<HostIncarnation> HandOverDue() const;
   // @return the records of callers' keys, for the next owners
   std::vector<KeyRecord> ExportKeys(TimePoint now) const;
+  void OnHandOverAcked(const HostIncarnation& peer);
 
-  // Takes over records of a host that stops.
-  void OnHandOver(const KeyHandOver& message, TimePoint now);
+  // Takes over records of another host.
+  // @return whether the hand-over is complete and counts
+  bool OnHandOver(const KeyHandOver& message, TimePoint now);
 
  private:
-  // What to do with a request under a caller's key.
+  // What `TryBegin` decided: to forward, to wait for proof, or what the log of
+  // executions says.
+  using Decision = std::variant<BeginResult, ForwardTo, NotProven>;
+
+  // Asks for the right to run a request. Judging a key and beginning its run
+  // happen under one lock, so a hand-over cannot come between.
+  Decision TryBegin(const ExecutionRequest& request, ContentDigest digest);
   KeyVerdict JudgeKey(const CallerKey& key,
-                      const std::vector<RegionName>& homes,
-                      const HostSnapshot& snapshot);
-  // Runs a request under a caller's key, here or at the owner of the key.
-  ExecutionResult ExecuteKey(const ExecutionRequest& request);
-  ExecutionResult ExecuteHere(ExecutionRequest request);
+                      const std::vector<RegionName>& homes);
+  ExecutionResult ExecuteOrForward(ExecutionRequest request, bool may_forward);
   ExecutionResult Run(const ExecutionRequest& request);
   ExecutionResult Forward(const HostIncarnation& executor,
                           const ExecutionRequest& request);
@@ -105,9 +119,13 @@
   EventLog* const log_;
   Metrics* const metrics_;
   PendingCalls<ForwardReply> calls_;
-  mutable std::mutex mutex_;  // Guards the four below.
+  mutable std::mutex mutex_;  // Guards everything below.
   ExecutionLog executions_;
-  KeyRing ring_;
+  std::optional<KeyRing> ring_;  // None before the first configuration.
+  Duration quiet_period_{};
+  std::vector<HostIncarnation> ring_members_;
+  std::vector<HostIncarnation> listed_;
+  std::set<HostIncarnation> failed_imports_;
   bool keys_stopped_ = false;
   int key_runs_ = 0;
 };
