Name the backend server in streamed answers and mend the demo

The demo showed no server for a download, since its head is passed on before the dispatch ends; the dispatcher now adds the names to every head.

--- a/heatherlatch/entry/dispatcher.cc
+++ b/heatherlatch/entry/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "heatherlatch/entry/caller_request.h"
 #include "heatherlatch/entry/content_digest.h"
 
 namespace heatherlatch {
@@ -93,6 +94,19 @@
          unknown->reason == BackendUnknownReason::kIncompleteBody;
 }
 
+// Adds to the answer which backend server it comes from.
+AnswerSink NamingServer(const AnswerSink& sink, const SlotLease& lease) {
+  AnswerSink naming = sink;
+  naming.on_head = [&sink, &lease](const AnswerHead& head) {
+    AnswerHead named = head;
+    named.headers.emplace_back(caller_header::kServer,
+                               lease.grant().server.str());
+    named.headers.emplace_back(caller_header::kZone, lease.group().zone.str());
+    return sink.on_head(named);
+  };
+  return naming;
+}
+
 bool MayTryAgain(const DispatchRequest& request, const BackendResult& call) {
   if (std::holds_alternative<BackendNotRun>(call.end)) return true;
   const auto* unknown = std::get_if<BackendUnknown>(&call.end);
@@ -213,10 +227,9 @@
                                  {"server", lease.grant().server.str()},
                                  {"attempt", std::to_string(result->attempts)},
                                  {"isolated", isolated ? "yes" : "no"}});
-  const BackendResult call = CallServer(request, sink, lease);
+  const BackendResult call =
+      CallServer(request, NamingServer(sink, lease), lease);
   lease.Release(ReportOf(call));
-  result->server = lease.grant().server;
-  result->zone = lease.group().zone;
   result->backend_time += call.total;
   accounts_->Count(lease.region(), request.body.size() + call.body_bytes);
   const bool server_lost = IsServerLost(call);
--- a/heatherlatch/entry/dispatcher.h
+++ b/heatherlatch/entry/dispatcher.h
@@ -45,8 +45,6 @@
 struct DispatchResult {
   Outcome outcome = NotRun{NotRunReason::kNoServer};
   int status = 0;  // Where the outcome is `Ran`.
-  BackendServerName server;
-  ZoneName zone;
   Duration backend_time{};  // Spent waiting for backend servers.
   int attempts = 0;
 };
@@ -63,7 +61,8 @@
              Metrics* metrics, ShareSuspect share);
 
   // Runs a request.
-  // @param sink  receives the answer of the attempt that answers
+  // @param sink  receives the answer of the attempt that answers, with headers
+  //              that name its backend server and zone
   DispatchResult Dispatch(const DispatchRequest& request,
                           const AnswerSink& sink);
 
--- a/heatherlatch/entry/executor.cc
+++ b/heatherlatch/entry/executor.cc
@@ -185,11 +185,6 @@
   result.outcome = dispatched.outcome;
   result.backend_time = dispatched.backend_time;
   if (std::holds_alternative<Ran>(dispatched.outcome)) {
-    // Both are kept with the answer, so a repeat names them too.
-    collector.answer()->headers.emplace_back("Heatherlatch-Server",
-                                             dispatched.server.str());
-    collector.answer()->headers.emplace_back("Heatherlatch-Zone",
-                                             dispatched.zone.str());
     result.answer = collector.answer();
   }
   std::lock_guard lock(mutex_);
--- a/heatherlatch/entry/request_pipeline.cc
+++ b/heatherlatch/entry/request_pipeline.cc
@@ -143,8 +143,6 @@
   if (!std::holds_alternative<Ran>(result.outcome)) {
     return AnswerWithout(result.outcome, "the request was not answered");
   }
-  answer.headers.emplace_back(caller_header::kServer, result.server.str());
-  answer.headers.emplace_back(caller_header::kZone, result.zone.str());
   Sign(&answer.headers, result.outcome);
   return answer;
 }
