--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -252,9 +252,8 @@
     end.failure = FailureOf(*code, end.sent);
   }
   const bool whole =
-      exchange.head_complete &&
-      IsWhole(exchange.reader.body_end(), exchange.reader.head(),
-              end.body_bytes);
+      exchange.head_complete && IsWhole(exchange.reader.body_end(),
+                                        exchange.reader.head(), end.body_bytes);
   if (!end.failure && !whole) {
     end.failure = exchange.head_complete ? ExchangeFailure::kIncompleteBody
                                          : ExchangeFailure::kConnectionLost;
@@ -319,8 +318,8 @@
 std::size_t HttpConnection::OnBody(char* data, std::size_t size,
                                    std::size_t count, void* exchange) {
   const std::size_t bytes = size * count;
-  const bool wanted = static_cast<Exchange*>(exchange)->TakeBody(
-      std::string_view(data, bytes));
+  const bool wanted =
+      static_cast<Exchange*>(exchange)->TakeBody(std::string_view(data, bytes));
   return wanted ? bytes : 0;
 }
 
--- a/heatherlatch/entry/control_loop.cc
+++ b/heatherlatch/entry/control_loop.cc
@@ -416,7 +416,9 @@
     const std::size_t end = std::min(records.size(), first + kKeysInMessage);
     KeyHandOver message;
     message.from = self_.incarnation;
-    message.records.assign(records.begin() + first, records.begin() + end);
+    for (std::size_t i = first; i < end; ++i) {
+      message.records.push_back(records[i]);
+    }
     parts_.transport->Send(heir, message);
   }
   KeyHandOver last;
@@ -439,8 +441,8 @@
       continue;
     }
     const TimePoint now = SteadyClock::now();
-    const std::optional<ConfigurationDocument> document = read.value();
-    Post([this, document, now] {
+    const std::optional<ConfigurationDocument>& document = read.value();
+    Post([this, document = document, now] {
       last_platform_read_ = now;
       NotePlatformContact(now);
       if (document) OnDocument(*document, SteadyClock::now());
--- a/heatherlatch/entry/dispatcher.h
+++ b/heatherlatch/entry/dispatcher.h
@@ -44,7 +44,7 @@
 
 struct DispatchResult {
   Outcome outcome = NotRun{NotRunReason::kNoServer};
-  int status = 0;  // Where the outcome is `Ran`.
+  int status = 0;           // Where the outcome is `Ran`.
   Duration backend_time{};  // Spent waiting for backend servers.
   int attempts = 0;
 };
