--- a/heatherlatch/placement/group_scheduler.cc
+++ b/heatherlatch/placement/group_scheduler.cc
@@ -49,7 +49,6 @@
       : options_(Checked(options)),
         pool_(options_),
         line_(options_.max_waiting, options_.slots_per_server),
-        ordinary_since_isolated_(options_.slots_per_server),
         now_(now) {}
 
   Decisions SetServers(const std::vector<GroupServer>& servers, TimePoint now);
@@ -93,13 +92,14 @@
                   TimePoint now);
   void GrantWaiter(WaiterId waiter, ServerRecord* server, TimePoint now);
   void Refuse(WaiterId waiter, NotRunReason reason);
+  void RefuseExpired(TimePoint now);
   void RefuseUnservable();
 
   void Dispatch(TimePoint now);
   bool ServeParked(TimePoint now);
   bool ServeFair(TimePoint now);
   void ServeIsolated(TimePoint now);
-  bool IsolatedTurn() const;
+  bool MayRunIsolated() const;
   void Reserve(ServerRecord* server);
 
   void TakeReport(ServerRecord* server, const CallReport& report, bool trial,
@@ -121,8 +121,6 @@
   // Server that is kept free for the first isolated request.
   std::optional<BackendServerName> reserved_;
   int running_isolated_ = 0;
-  // Grants since the last isolated one; it bounds the turn of isolated work.
-  int ordinary_since_isolated_;
   Decisions undelivered_;
   bool dispatch_due_ = false;  // `Cancel` has freed a server.
   TimePoint now_;              // Latest time seen.
@@ -209,12 +207,7 @@
   leases_.emplace(lease_end, id);
   server->Begin(id, request.isolated, now);
   pool_.Update(server);
-  if (request.isolated) {
-    ++running_isolated_;
-    ordinary_since_isolated_ = 0;
-  } else {
-    ++ordinary_since_isolated_;
-  }
+  running_isolated_ += request.isolated ? 1 : 0;
   return Grant{id, server->name(), server->endpoint(), lease_end};
 }
 
@@ -229,6 +222,13 @@
   undelivered_.push_back(SlotRefused{waiter, reason});
 }
 
+void GroupScheduler::State::RefuseExpired(TimePoint now) {
+  while (const auto first = line_.FirstDeadline()) {
+    if (first->first > now) return;
+    Refuse(first->second, NotRunReason::kDeadlineTooShort);
+  }
+}
+
 // Refuses requests that no server of the group can serve any more, so that
 // their holders can ask another group.
 void GroupScheduler::State::RefuseUnservable() {
@@ -249,6 +249,7 @@
 void GroupScheduler::State::Dispatch(TimePoint now) {
   now_ = std::max(now_, now);
   dispatch_due_ = false;
+  RefuseExpired(now);
   RefuseUnservable();
   bool served = true;
   while (served) {
@@ -291,13 +292,9 @@
   return true;
 }
 
-// Isolated and other work take turns, so neither starves: after an isolated
-// request, as many others as a server has slots go first if they wait.
-bool GroupScheduler::State::IsolatedTurn() const {
+bool GroupScheduler::State::MayRunIsolated() const {
   const int most = std::max(1, pool_.accepting() / kServersForEachIsolatedOne);
-  if (running_isolated_ >= most) return false;
-  return line_.fair_size() == 0 ||
-         ordinary_since_isolated_ >= options_.slots_per_server;
+  return running_isolated_ < most;
 }
 
 void GroupScheduler::State::Reserve(ServerRecord* server) {
@@ -314,9 +311,11 @@
   pool_.Update(server);
 }
 
+// An isolated request has paid for a whole server in the fair queue, so this
+// does not starve ordinary ones.
 void GroupScheduler::State::ServeIsolated(TimePoint now) {
   while (const std::optional<WaiterId> waiter = line_.IsolatedFront()) {
-    if (!IsolatedTurn()) break;
+    if (!MayRunIsolated()) break;
     Reserve(pool_.PickForIsolation(line_.Get(*waiter).excluded));
     ServerRecord* server = reserved_ ? pool_.Find(*reserved_) : nullptr;
     if (server == nullptr || server->granted() > 0) return;
@@ -423,10 +422,6 @@
   pool_.Advance(now);
   EndLeases(now);
   ForgetLostGrants(now);
-  while (const auto first = line_.FirstDeadline()) {
-    if (first->first > now) break;
-    Refuse(first->second, NotRunReason::kDeadlineTooShort);
-  }
   Dispatch(now);
   return TakeDecisions();
 }
