Send a request to a backend server at most once

Cause: libcurl resends a request by itself on a new connection when a reused connection ends before the first byte of an answer. A server may have read and run the request by then.

Ruled out: CURLOPT_FRESH_CONNECT, which pays a connect (about 1 ms on a worker) for each call; checking the idle socket alone, which leaves the time between check and answer.

Change: a CURLOPT_PREREQFUNCTION callback refuses the second send of one call, and an opensocket callback its connection. The idle socket is checked as well.

--- a/heatherlatch/backend/backend_client.cc
+++ b/heatherlatch/backend/backend_client.cc
@@ -21,9 +21,9 @@
 constexpr std::size_t kMaxHealthBytes = 4096;
 
 // Headers that the client writes itself.
-constexpr std::string_view kOwnHeaders[] = {
-    "content-length", "expect",        "idempotency-key",
-    "x-request-id",   "x-deadline-at", "x-deadline-ms"};
+constexpr std::string_view kOwnHeaders[] = {"content-length",  "expect",
+                                            "idempotency-key", "x-request-id",
+                                            "x-deadline-at",   "x-deadline-ms"};
 
 bool IsOwnHeader(std::string_view lower_name) {
   return std::find(std::begin(kOwnHeaders), std::end(kOwnHeaders),
--- a/heatherlatch/backend/internal/answer_head_reader.cc
+++ b/heatherlatch/backend/internal/answer_head_reader.cc
@@ -13,10 +13,15 @@
 constexpr int kStatusNotModified = 304;
 constexpr int kStatusServiceUnavailable = 503;
 
-constexpr std::string_view kConnectionHeaders[] = {
-    "connection",         "keep-alive", "proxy-authenticate",
-    "proxy-authorization", "proxy-connection", "te",
-    "trailer",            "transfer-encoding", "upgrade"};
+constexpr std::string_view kConnectionHeaders[] = {"connection",
+                                                   "keep-alive",
+                                                   "proxy-authenticate",
+                                                   "proxy-authorization",
+                                                   "proxy-connection",
+                                                   "te",
+                                                   "trailer",
+                                                   "transfer-encoding",
+                                                   "upgrade"};
 
 std::string_view Trim(std::string_view text) {
   const auto first = text.find_first_not_of(" \t\r\n");
--- a/heatherlatch/backend/internal/connection_pool.cc
+++ b/heatherlatch/backend/internal/connection_pool.cc
@@ -10,8 +10,7 @@
 
 }  // namespace
 
-PooledConnection ConnectionPool::Take(const Endpoint& endpoint,
-                                      TimePoint now) {
+PooledConnection ConnectionPool::Take(const Endpoint& endpoint, TimePoint now) {
   while (true) {
     PooledConnection pooled;
     TimePoint since;
--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -98,14 +98,15 @@
   return false;
 }
 
-ExchangeFailure FailureOf(CURLcode code, bool sent) {
+ExchangeFailure FailureOf(CURLcode code, bool sent, bool head_complete) {
   switch (code) {
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_UNSUPPORTED_PROTOCOL:  // Answer without a status line.
     case CURLE_BAD_CONTENT_ENCODING:
       return ExchangeFailure::kMalformedAnswer;
     case CURLE_PARTIAL_FILE:
-      return ExchangeFailure::kIncompleteBody;
+      return head_complete ? ExchangeFailure::kIncompleteBody
+                           : ExchangeFailure::kConnectionLost;
     default:
       return sent ? ExchangeFailure::kConnectionLost
                   : ExchangeFailure::kConnectFailed;
@@ -209,6 +210,7 @@
   curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
 }
 
 void HttpConnection::SetMethod(const HttpRequest& request) {
@@ -244,17 +246,17 @@
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, &exchange);
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, &exchange);
   curl_easy_setopt(easy_, CURLOPT_PREREQDATA, &exchange);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, &exchange);
 
   curl_multi_add_handle(multi_, easy_);
   const std::optional<CURLcode> code = Drive(&exchange, sink, deadline);
   ExchangeEnd& end = exchange.end;
   if (!end.failure && code && *code != CURLE_OK) {
-    end.failure = FailureOf(*code, end.sent);
+    end.failure = FailureOf(*code, end.sent, exchange.head_complete);
   }
   const bool whole =
-      exchange.head_complete &&
-      IsWhole(exchange.reader.body_end(), exchange.reader.head(),
-              end.body_bytes);
+      exchange.head_complete && IsWhole(exchange.reader.body_end(),
+                                        exchange.reader.head(), end.body_bytes);
   if (!end.failure && !whole) {
     end.failure = exchange.head_complete ? ExchangeFailure::kIncompleteBody
                                          : ExchangeFailure::kConnectionLost;
@@ -263,8 +265,10 @@
   long new_connections = 0;
   curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &new_connections);
   end.new_connection = new_connections > 0;
+  // libcurl finds the socket only while the handle belongs to `multi_`.
+  curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idle_socket_);
   curl_multi_remove_handle(multi_, easy_);
-  end.reusable = !end.failure && ActiveSocket() != CURL_SOCKET_BAD;
+  end.reusable = !end.failure && idle_socket_ != CURL_SOCKET_BAD;
   end.total = SteadyClock::now() - exchange.start;
   return end;
 }
@@ -294,17 +298,11 @@
   return message->data.result;
 }
 
-curl_socket_t HttpConnection::ActiveSocket() const {
-  curl_socket_t socket = CURL_SOCKET_BAD;
-  curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &socket);
-  return socket;
-}
-
 bool HttpConnection::IsIdleAndOpen() const {
-  const curl_socket_t socket = ActiveSocket();
-  if (socket == CURL_SOCKET_BAD) return false;
+  if (idle_socket_ == CURL_SOCKET_BAD) return false;
   char byte = 0;
-  const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t received =
+      recv(idle_socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -319,8 +317,8 @@
 std::size_t HttpConnection::OnBody(char* data, std::size_t size,
                                    std::size_t count, void* exchange) {
   const std::size_t bytes = size * count;
-  const bool wanted = static_cast<Exchange*>(exchange)->TakeBody(
-      std::string_view(data, bytes));
+  const bool wanted =
+      static_cast<Exchange*>(exchange)->TakeBody(std::string_view(data, bytes));
   return wanted ? bytes : 0;
 }
 
@@ -333,4 +331,12 @@
   return CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t HttpConnection::OnOpenSocket(void* exchange,
+                                           curlsocktype /*purpose*/,
+                                           curl_sockaddr* address) {
+  if (static_cast<Exchange*>(exchange)->end.sent) return CURL_SOCKET_BAD;
+  return socket(address->family, address->socktype | SOCK_CLOEXEC,
+                address->protocol);
+}
+
 }  // namespace heatherlatch::internal
--- a/heatherlatch/backend/internal/http_connection.h
+++ b/heatherlatch/backend/internal/http_connection.h
@@ -4,7 +4,8 @@
 // a second time, on a new connection, when a reused connection ends before the
 // first byte of an answer; a server may have run the request by then. A
 // CURLOPT_PREREQFUNCTION callback, which libcurl calls before each send,
-// refuses the second one.
+// refuses the second one, and a CURLOPT_OPENSOCKETFUNCTION callback refuses
+// the connection for it.
 //
 // Thread safety: none; one exchange at a time.
 #ifndef HEATHERLATCH_BACKEND_INTERNAL_HTTP_CONNECTION_H_
@@ -81,7 +82,6 @@
   void SetMethod(const HttpRequest& request);
   std::optional<CURLcode> Drive(Exchange* exchange, const AnswerSink& sink,
                                 TimePoint deadline);
-  curl_socket_t ActiveSocket() const;
 
   static std::size_t OnHeaderLine(char* data, std::size_t size,
                                   std::size_t count, void* exchange);
@@ -89,10 +89,13 @@
                             void* exchange);
   static int OnBeforeSend(void* exchange, char* remote_ip, char* local_ip,
                           int remote_port, int local_port);
+  static curl_socket_t OnOpenSocket(void* exchange, curlsocktype purpose,
+                                    curl_sockaddr* address);
 
   Endpoint endpoint_;
   CURLM* multi_;
   CURL* easy_;
+  curl_socket_t idle_socket_ = CURL_SOCKET_BAD;  // Open between exchanges.
 };
 
 }  // namespace heatherlatch::internal
--- a/heatherlatch/platform/platform_client.cc
+++ b/heatherlatch/platform/platform_client.cc
@@ -89,9 +89,9 @@
       connection.Run(request, sink, SteadyClock::now() + timeout);
   const std::string call = "GET " + target;
   if (too_large) {
-    return Fail(PlatformError{PlatformProblem::kMalformed, call,
-                              "the answer is larger than " +
-                                  std::to_string(max_bytes) + " bytes"});
+    return Fail(PlatformError{
+        PlatformProblem::kMalformed, call,
+        "the answer is larger than " + std::to_string(max_bytes) + " bytes"});
   }
   if (end.failure) {
     return Fail(
@@ -218,8 +218,8 @@
                                std::function<bool()> stopping)
     : endpoint_(std::move(endpoint)), stopping_(std::move(stopping)) {}
 
-Result<std::optional<ConfigurationDocument>>
-PlatformClient::WatchConfiguration(Revision after, Duration wait) {
+Result<std::optional<ConfigurationDocument>> PlatformClient::WatchConfiguration(
+    Revision after, Duration wait) {
   const auto wait_milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   const std::string target =
--- a/standins/backend/backend_fleet.cc
+++ b/standins/backend/backend_fleet.cc
@@ -100,8 +100,9 @@
   if (text == "queue") return OverloadPolicy::kQueue;
   if (text == "slow-down") return OverloadPolicy::kSlowDown;
   if (text == "shed") return OverloadPolicy::kShed;
-  throw YAML::Exception(node.Mark(), "overload is none of shed, queue, "
-                                     "slow-down");
+  throw YAML::Exception(node.Mark(),
+                        "overload is none of shed, queue, "
+                        "slow-down");
 }
 
 BackendGroupOptions ReadGroup(const YAML::Node& node) {
@@ -225,8 +226,7 @@
     const auto restarted = [now](BackendServer* server) {
       return server->RestartAt() <= now && server->Restart();
     };
-    down.erase(std::remove_if(down.begin(), down.end(), restarted),
-               down.end());
+    down.erase(std::remove_if(down.begin(), down.end(), restarted), down.end());
     lock.lock();
     if (crashed_.empty() && down.empty() && !stopping_) {
       changed_.wait(lock);
--- /dev/null
+++ b/standins/backend/backend_fleet_test.cc
@@ -0,0 +1,214 @@
+#include "standins/backend/backend_fleet.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "heatherlatch/backend/backend_client.h"
+#include "standins/common/free_port.h"
+
+namespace heatherlatch::standins {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kLongWait(20);
+
+// One server, its fleet and a client.
+struct RunningFleet {
+  explicit RunningFleet(BackendServerOptions server) {
+    std::optional<ListenProblem> problem;
+    server.name = "tally-1";
+    do {
+      server.listen = FreeEndpoint();
+      control = FreeEndpoint();
+      fleet = std::make_unique<BackendFleet>(
+          BackendFleetOptions{control, {server}});
+      problem = fleet->Start();
+    } while (problem);
+    endpoint = server.listen;
+  }
+
+  BackendServer& server() { return *fleet->Find("tally-1"); }
+
+  BackendResult Call(const std::string& target, Duration time = kLongWait,
+                     const std::function<bool()>& cancelled = nullptr) {
+    BackendRequest request;
+    request.endpoint = endpoint;
+    request.method = "GET";
+    request.target = target;
+    request.request_id = "request-1";
+    request.request_key = "key-1";
+    AnswerSink sink;
+    sink.cancelled = cancelled;
+    return client.Call(request, sink, SteadyClock::now() + time);
+  }
+
+  // Posts a fault to the control port.
+  // @return the status of the answer
+  int Control(const std::string& body) {
+    BackendRequest request;
+    request.endpoint = control;
+    request.method = "POST";
+    request.target = "/standin/fault";
+    request.body = body;
+    const BackendResult result =
+        client.Call(request, {}, SteadyClock::now() + kLongWait);
+    return std::get<BackendAnswered>(result.end).status;
+  }
+
+  Endpoint control;
+  Endpoint endpoint;
+  std::unique_ptr<BackendFleet> fleet;
+  BackendClient client{{}};
+};
+
+BackendServerOptions Quick() {
+  BackendServerOptions options;
+  options.service_mean = milliseconds(1);
+  options.connect_time = Duration::zero();
+  return options;
+}
+
+BackendServerOptions Slow() {
+  BackendServerOptions options = Quick();
+  options.service_mean = kLongWait * 4;
+  return options;
+}
+
+template <typename Condition>
+bool Eventually(const Condition& condition) {
+  const TimePoint end = SteadyClock::now() + kLongWait;
+  while (SteadyClock::now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return false;
+}
+
+std::optional<BackendNotRunReason> NotRunReasonOf(const BackendResult& result) {
+  const auto* not_run = std::get_if<BackendNotRun>(&result.end);
+  if (not_run == nullptr) return std::nullopt;
+  return not_run->reason;
+}
+
+TEST_CASE("a run is logged and its answer carries the signs") {
+  RunningFleet running(Quick());
+  const BackendResult result = running.Call("/tally/1");
+  CHECK(std::get<BackendAnswered>(result.end).status == 200);
+  CHECK(result.body_bytes == running.server().options().answer_bytes);
+  CHECK(result.signs.boot_id == running.server().Counts().boot_id);
+  const std::vector<Run> runs = running.fleet->runs().RunsFrom(0);
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].key == "key-1");
+  CHECK(runs[0].request_id == "request-1");
+  CHECK(runs[0].end == RunEnd::kCompleted);
+  CHECK(running.fleet->runs().RepeatedKeys().empty());
+  running.Call("/tally/1");
+  CHECK(running.fleet->runs().RepeatedKeys() ==
+        std::vector<std::string>{"key-1"});
+}
+
+TEST_CASE("a full server sheds and a closed connection frees its slot") {
+  BackendServerOptions options = Slow();
+  options.slots = 1;
+  RunningFleet running(options);
+  std::atomic<bool> gone{false};
+  std::thread holder([&] {
+    running.Call("/hold", kLongWait, [&gone] { return gone.load(); });
+  });
+  REQUIRE(Eventually([&] { return running.server().Counts().in_flight == 1; }));
+  CHECK(NotRunReasonOf(running.Call("/more")) == BackendNotRunReason::kShed);
+  CHECK(running.server().Counts().overruns == 1);
+  gone = true;
+  holder.join();
+  CHECK(Eventually([&] { return running.server().Counts().in_flight == 0; }));
+  CHECK(running.server().Counts().cancelled == 1);
+}
+
+TEST_CASE("a draining server refuses and says so") {
+  RunningFleet running(Quick());
+  CHECK(running.Control(R"({"server": "tally-*", "drain": true})") == 200);
+  CHECK(NotRunReasonOf(running.Call("/a")) == BackendNotRunReason::kDraining);
+  const ProbeResult probe = running.client.Probe(running.endpoint, kLongWait);
+  CHECK(probe.signs.draining);
+  CHECK(running.Control(R"({"lie": true})") == 200);
+  CHECK_FALSE(running.client.Probe(running.endpoint, kLongWait).signs.draining);
+  CHECK(running.Control(R"({"server": "x"})") == 404);
+  CHECK(running.Control("[]") == 400);
+}
+
+TEST_CASE("an overloaded cold server falls over and restarts") {
+  BackendServerOptions options = Slow();
+  options.cold_time = kLongWait * 4;
+  options.restart_time = milliseconds(50);
+  RunningFleet running(options);
+  const std::uint64_t boot = running.server().Counts().boot_id;
+  std::thread holder([&] { running.Call("/hold"); });
+  REQUIRE(Eventually([&] { return running.server().Counts().in_flight == 1; }));
+  const BackendResult second = running.Call("/more");
+  CHECK(std::holds_alternative<BackendUnknown>(second.end));
+  holder.join();
+  CHECK(running.server().Counts().cold_overruns == 1);
+  CHECK(Eventually([&] {
+    const ProbeResult probe = running.client.Probe(running.endpoint, kLongWait);
+    return probe.reachable && probe.signs.boot_id != boot && probe.signs.cold;
+  }));
+  CHECK(running.fleet->runs().RunsFrom(0).at(0).end == RunEnd::kCrashed);
+}
+
+TEST_CASE("a marked request crashes the server that runs it") {
+  BackendServerOptions options = Quick();
+  options.restart_time = milliseconds(50);
+  RunningFleet running(options);
+  CHECK(running.Control(R"({"crash_on": "poison"})") == 200);
+  CHECK(std::holds_alternative<BackendUnknown>(running.Call("/poison").end));
+  CHECK(Eventually([&] {
+    return std::holds_alternative<BackendAnswered>(running.Call("/ok").end);
+  }));
+  CHECK(running.server().Counts().crashes == 1);
+}
+
+TEST_CASE("half a body and a black hole are not answers") {
+  RunningFleet running(Quick());
+  CHECK(running.Control(R"({"half_bodies": true})") == 200);
+  CHECK(std::holds_alternative<BackendUnknown>(running.Call("/a").end));
+  CHECK(running.Control(R"({"clear": true, "black_hole": true})") == 200);
+  CHECK(std::holds_alternative<BackendUnknown>(
+      running.Call("/b", milliseconds(100)).end));
+  CHECK(running.Control(R"({"clear": true})") == 200);
+  CHECK(std::holds_alternative<BackendAnswered>(running.Call("/c").end));
+}
+
+TEST_CASE("a paced answer is whole") {
+  BackendServerOptions options = Quick();
+  options.answer_bytes = 100000;
+  options.bytes_per_second = 10000000;
+  RunningFleet running(options);
+  const BackendResult result = running.Call("/download");
+  CHECK(std::holds_alternative<BackendAnswered>(result.end));
+  CHECK(result.body_bytes == options.answer_bytes);
+  CHECK(result.total >= milliseconds(10));
+}
+
+TEST_CASE("a fleet is read from YAML") {
+  const auto fleet = ReadFleet(
+      "control_port: 9100\n"
+      "groups:\n"
+      "  - {name: tally, count: 2, first_port: 9101, overload: queue,\n"
+      "     service_mean_ms: 2.5}\n");
+  const auto& options = std::get<BackendFleetOptions>(fleet);
+  REQUIRE(options.servers.size() == 2);
+  CHECK(options.servers[1].name == "tally-2");
+  CHECK(options.servers[1].listen == Endpoint{"127.0.0.1", 9102});
+  CHECK(options.servers[1].overload == OverloadPolicy::kQueue);
+  CHECK(options.servers[1].service_mean == std::chrono::microseconds(2500));
+  CHECK(std::holds_alternative<FleetProblem>(ReadFleet("groups: []")));
+  CHECK(std::holds_alternative<FleetProblem>(
+      ReadFleet("control_port: 1\ngroups: [{name: a, first_port: 2, "
+                "overload: drop}]")));
+}
+
+}  // namespace
+}  // namespace heatherlatch::standins
--- a/standins/backend/backend_server.cc
+++ b/standins/backend/backend_server.cc
@@ -34,6 +34,12 @@
   return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+void EchoRequestId(const HttpRequest& request, HttpAnswer* answer) {
+  const std::string request_id = request.Header("X-Request-Id");
+  if (request_id.empty()) return;
+  answer->headers.emplace_back("X-Request-Id", request_id);
+}
+
 // Writes a body of 'x' at a rate, and can stop half way.
 class PacedBody {
  public:
@@ -61,9 +67,8 @@
     if (bytes_per_second_ == 0) return Duration::zero();
     const double seconds = static_cast<double>(written_ + size) /
                            static_cast<double>(bytes_per_second_);
-    const auto due =
-        start_ + std::chrono::duration_cast<Duration>(
-                     std::chrono::duration<double>(seconds));
+    const auto due = start_ + std::chrono::duration_cast<Duration>(
+                                  std::chrono::duration<double>(seconds));
     return std::max(due - SteadyClock::now(), Duration::zero());
   }
 
@@ -154,14 +159,16 @@
   if (request.connection->TakeFirstUse()) {
     request.connection->WaitOpen(options_.connect_time);
   }
-  if (Fault().black_hole) HoldUntilClosed(request);
+  if (Fault().black_hole && !HoldUntilAnswering(request)) {
+    return {kStatusUnavailable, {}, "", nullptr};
+  }
   if (request.path == "/health") return HandleHealth(request);
   const Admission admission = Admit(request);
   if (admission.crash) {
     Crash(options_.restart_time);
     return {kStatusUnavailable, {}, "", nullptr};
   }
-  if (!admission.admitted) return Refuse(admission.refusal);
+  if (!admission.admitted) return Refuse(request, admission.refusal);
   return RunAdmitted(request, admission, Fault());
 }
 
@@ -180,10 +187,8 @@
   const nlohmann::json json = {{"state", view.state},
                                {"boot_id", counts_.boot_id},
                                {"in_flight", view.in_flight}};
-  return {kStatusOk,
-          {{"Content-Type", "application/json"}},
-          json.dump(),
-          nullptr};
+  return {
+      kStatusOk, {{"Content-Type", "application/json"}}, json.dump(), nullptr};
 }
 
 BackendServer::Admission BackendServer::Admit(const HttpRequest& request) {
@@ -222,8 +227,7 @@
   }
   admission.admitted = true;
   admission.in_flight = ++counts_.in_flight;
-  counts_.most_in_flight =
-      std::max(counts_.most_in_flight, counts_.in_flight);
+  counts_.most_in_flight = std::max(counts_.most_in_flight, counts_.in_flight);
   admission.service_time =
       DrawServiceTime(admission.in_flight, SteadyClock::now());
   Run run;
@@ -283,10 +287,7 @@
                                        const BackendFault& fault) {
   HttpAnswer answer;
   answer.headers.emplace_back("Content-Type", "application/octet-stream");
-  const std::string request_id = request.Header("X-Request-Id");
-  if (!request_id.empty()) {
-    answer.headers.emplace_back("X-Request-Id", request_id);
-  }
+  EchoRequestId(request, &answer);
   const bool whole_at_once =
       options_.bytes_per_second == 0 && !fault.half_bodies;
   if (whole_at_once || options_.answer_bytes == 0) {
@@ -294,9 +295,9 @@
     EndRun(run, RunEnd::kCompleted);
     return WithSigns(std::move(answer));
   }
-  const auto body = std::make_shared<PacedBody>(
-      request.connection, options_.answer_bytes, options_.bytes_per_second,
-      fault.half_bodies);
+  const auto body =
+      std::make_shared<PacedBody>(request.connection, options_.answer_bytes,
+                                  options_.bytes_per_second, fault.half_bodies);
   answer.stream = std::make_shared<StreamedBody>();
   answer.stream->length = options_.answer_bytes;
   answer.stream->write = [body](char* out, std::size_t room) {
@@ -320,9 +321,11 @@
   log_->End(run, end);
 }
 
-HttpAnswer BackendServer::Refuse(const std::string& sign) {
+HttpAnswer BackendServer::Refuse(const HttpRequest& request,
+                                 const std::string& sign) const {
   HttpAnswer answer{kStatusUnavailable, {}, "", nullptr};
   if (!sign.empty()) answer.headers.emplace_back("X-Not-Run", sign);
+  EchoRequestId(request, &answer);
   return WithSigns(std::move(answer));
 }
 
@@ -343,10 +346,11 @@
   return now < cold_until_ ? "cold" : "ready";
 }
 
-void BackendServer::HoldUntilClosed(const HttpRequest& request) const {
-  while (Fault().black_hole &&
-         request.connection->WaitOpen(kHoldPollInterval)) {
+bool BackendServer::HoldUntilAnswering(const HttpRequest& request) const {
+  while (Fault().black_hole) {
+    if (!request.connection->WaitOpen(kHoldPollInterval)) return false;
   }
+  return true;
 }
 
 }  // namespace heatherlatch::standins
--- a/standins/backend/backend_server.h
+++ b/standins/backend/backend_server.h
@@ -144,7 +144,7 @@
                          const BackendFault& fault);
   HttpAnswer StreamAnswer(const HttpRequest& request, RunId run,
                           const BackendFault& fault);
-  HttpAnswer Refuse(const std::string& sign);
+  HttpAnswer Refuse(const HttpRequest& request, const std::string& sign) const;
   Admission Admit(const HttpRequest& request);
   bool WaitForSlot(std::unique_lock<std::mutex>* lock,
                    const HttpRequest& request);
@@ -152,7 +152,9 @@
   void EndRun(RunId run, RunEnd end);
   HttpAnswer WithSigns(HttpAnswer answer) const;
   std::string StateText(TimePoint now) const;
-  void HoldUntilClosed(const HttpRequest& request) const;
+  // Keeps a request while the server is a black hole.
+  // @return whether its client still waits afterwards
+  bool HoldUntilAnswering(const HttpRequest& request) const;
 
   const BackendServerOptions options_;
   RunLog* const log_;
--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -14,7 +14,7 @@
 namespace heatherlatch::standins {
 namespace {
 
-constexpr std::size_t kThreadStackBytes = 512 * 1024;
+constexpr std::size_t kThreadStackBytes = std::size_t{512} * 1024;
 constexpr std::size_t kStreamBlockBytes = 16384;
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
 
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-using heatherlatch::Endpoint;
 using heatherlatch::standins::PlatformService;
 using heatherlatch::standins::PlatformServiceOptions;
 
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -38,7 +38,7 @@
   bool down = false;        // Cuts the connection of each read.
   bool black_hole = false;  // Holds each read without an answer.
   std::optional<std::uint64_t> stale_revision;  // Serves this one at most.
-  Duration delay{};     // Added to each answer.
+  Duration delay{};                             // Added to each answer.
   Duration list_lag{};  // Age of the list that is served.
 };
 
