--- a/heatherlatch/backend/backend_client.h
+++ b/heatherlatch/backend/backend_client.h
@@ -1,7 +1,8 @@
 // Calls backend servers over HTTP with pooled connections.
 //
 // The client is the only place that decides what is known about a call:
-//   - nothing was sent            -> BackendNotRun (connect failed, deadline)
+//   - nothing was sent            -> BackendNotRun (connect failed, deadline;
+//                                    kNoTime also where it was cancelled)
 //   - the server refused with its "not run" sign -> BackendNotRun (shed, drain)
 //   - a whole answer              -> BackendAnswered
 //   - anything else               -> BackendUnknown
@@ -9,6 +10,15 @@
 // never used again. An answer is whole when its declared length or its final
 // chunk has arrived. docs/INTERFACES.md gives the requests and answers.
 //
+// A request is sent at most once: where a kept connection ends before the
+// answer begins, the outcome is BackendUnknown and nothing is sent again.
+//
+// Headers that concern one connection are left out in both directions, and
+// those that the client writes itself are left out of a request. A request
+// header that holds a line break is not sent. Bytes that a request target must
+// not hold are percent-encoded. A refusal of the server does not reach the
+// sink.
+//
 // The body is streamed: `on_head` is called once with status and headers, then
 // `on_data` for each piece. When either returns false the call is cancelled,
 // the connection is closed, and the outcome is BackendUnknown.
@@ -50,7 +60,7 @@
 
 struct AnswerHead {
   int status = 0;
-  HeaderList headers;  // Without hop-by-hop headers.
+  HeaderList headers;  // Without hop-by-hop headers and the length.
   std::optional<std::uint64_t> content_length;
 };
 
--- /dev/null
+++ b/programs/load/load_report.h
@@ -0,0 +1,88 @@
+// Collects the ends of requests and prints them as a table or as JSON.
+//
+// Thread safety: none; each worker has its own report, which are merged.
+#ifndef PROGRAMS_LOAD_LOAD_REPORT_H_
+#define PROGRAMS_LOAD_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "heatherlatch/base/time.h"
+
+namespace heatherlatch::load {
+
+// How one request ended, after its resends.
+struct RequestEnd {
+  std::string kind;
+  // The header Heatherlatch-Outcome and, where it is not "ran", its reason;
+  // for an answer without it "answered" or "not-run", for none "failed-...".
+  std::string outcome;
+  Duration latency{};  // From the intended start.
+  Duration started{};  // Intended start, from the start of the run.
+  bool good = false;   // The request ran and its answer is whole.
+};
+
+// Latencies of one kind and outcome.
+struct LatencyRow {
+  std::string kind;
+  std::string outcome;
+  std::size_t count = 0;
+  Duration p50{};
+  Duration p99{};
+  Duration p999{};
+  Duration max{};
+};
+
+// What happened to the requests that were due within one second.
+struct SecondRow {
+  int second = 0;
+  std::size_t good = 0;
+  std::size_t other = 0;
+  Duration p99{};  // Of the good ones.
+};
+
+class LoadReport {
+ public:
+  void Add(const RequestEnd& end);
+  void AddLateness(Duration lateness) { lateness_.push_back(lateness); }
+  void CountResend() { ++resends_; }
+  void CountReplay() { ++replays_; }
+  void CountDropped() { ++dropped_; }
+
+  // Takes over everything that `other` has collected.
+  void Merge(LoadReport other);
+
+  std::vector<LatencyRow> Rows() const;
+  std::vector<SecondRow> Seconds() const;
+  std::size_t total() const;
+  std::size_t good() const;
+
+  // @param length  duration of the run, for the rate
+  void PrintTable(std::ostream& out, Duration length) const;
+  void PrintJson(std::ostream& out, Duration length) const;
+
+ private:
+  struct Second {
+    std::vector<Duration> good;
+    std::size_t other = 0;
+  };
+
+  std::map<std::pair<std::string, std::string>, std::vector<Duration>> rows_;
+  std::map<int, Second> seconds_;
+  std::vector<Duration> lateness_;  // Of the generator, actual from intended.
+  std::uint64_t resends_ = 0;
+  std::uint64_t replays_ = 0;
+  std::uint64_t dropped_ = 0;  // Not sent: too many in progress.
+};
+
+// @param share  from 0 to 1
+// @return the value below which `share` of the values lie; 0 for no values
+Duration Percentile(std::vector<Duration> values, double share);
+
+}  // namespace heatherlatch::load
+
+#endif  // PROGRAMS_LOAD_LOAD_REPORT_H_
