--- a/heatherlatch/objects/check.cc
+++ b/heatherlatch/objects/check.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/objects/check.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "heatherlatch/objects/internal/cross_check.h"
@@ -57,7 +58,7 @@
 AvailabilityZone ReadZone(MappingReader* reader) {
   AvailabilityZone zone;
   AssignIfPresent(reader->ObjectName("name", kRequired), &zone.name);
-  AssignIfPresent(reader->Text("region", kRequired), &zone.region);
+  AssignIfPresent(reader->Reference("region", kRequired), &zone.region);
   AssignIfPresent(reader->Boolean("in_service", kOptional), &zone.in_service);
   return zone;
 }
@@ -65,7 +66,7 @@
 BackendServer ReadServer(MappingReader* reader) {
   BackendServer server;
   AssignIfPresent(reader->ObjectName("name", kRequired), &server.name);
-  AssignIfPresent(reader->Text("zone", kRequired), &server.zone);
+  AssignIfPresent(reader->Reference("zone", kRequired), &server.zone);
   AssignIfPresent(reader->Address("endpoint", kRequired), &server.endpoint);
   return server;
 }
@@ -120,7 +121,12 @@
   if (methods.empty()) {
     reader->Report(FindingKind::kOutOfRange, "methods", "names no method");
   }
+  std::set<std::string> seen;
   for (const std::string& method : methods) {
+    if (!seen.insert(method).second) {
+      reader->Report(FindingKind::kDuplicateName, "methods",
+                     method + " stands twice", "keep one of the two entries");
+    }
     const auto& known = KnownMethods();
     if (std::find(known.begin(), known.end(), method) != known.end()) continue;
     reader->Report(FindingKind::kOutOfRange, "methods",
@@ -135,12 +141,18 @@
          path[kReservedPrefix.size()] == '/';
 }
 
+// @return whether the character stands for itself in the path of a request
+bool IsPathCharacter(char c) {
+  const bool is_visible = c > ' ' && c < '\x7f';
+  return is_visible && c != '?' && c != '#' && c != '%' && c != '*';
+}
+
 // @return what is wrong with a path prefix; empty if nothing is
 std::string PathProblem(std::string_view path) {
   if (path.empty() || path.front() != '/') return "does not start with \"/\"";
   if (path.size() > 1 && path.back() == '/') return "ends with \"/\"";
   if (path.find("//") != std::string_view::npos) return "has an empty segment";
-  if (path.find_first_of("?#%* \t") != std::string_view::npos) {
+  if (!std::all_of(path.begin(), path.end(), IsPathCharacter)) {
     return "has a character that cannot stand in a prefix";
   }
   if (path.find("/.") != std::string_view::npos) {
@@ -168,7 +180,7 @@
   const auto methods = reader->TextList("methods", kRequired);
   if (methods) CheckMethods(*methods, reader);
   AssignIfPresent(methods, &route.methods);
-  AssignIfPresent(reader->Text("service", kRequired), &route.service);
+  AssignIfPresent(reader->Reference("service", kRequired), &route.service);
   AssignIfPresent(reader->Boolean("idempotent", kOptional), &route.idempotent);
   route.home_regions = ReadHomeRegions(reader);
   AssignIfPresent(reader->Time("deadline", kOptional, kDeadlineRange),
--- a/heatherlatch/objects/internal/cross_check.cc
+++ b/heatherlatch/objects/internal/cross_check.cc
@@ -7,37 +7,13 @@
 #include <utility>
 
 #include "heatherlatch/objects/check.h"
+#include "heatherlatch/objects/internal/labels.h"
 #include "heatherlatch/yaml/closest_name.h"
 #include "heatherlatch/yaml/units.h"
 
 namespace heatherlatch::internal {
 namespace {
 
-std::string Joined(const std::vector<RegionName>& regions) {
-  std::string joined;
-  for (const RegionName& region : regions) {
-    if (!joined.empty()) joined += ", ";
-    joined += region.str();
-  }
-  return joined;
-}
-
-std::string LabelOf(const AvailabilityZone& zone) {
-  return ObjectLabel("zone", zone.name.str());
-}
-std::string LabelOf(const Service& service) {
-  return ObjectLabel("service", service.name.str());
-}
-std::string LabelOf(const BackendServer& server) {
-  return ObjectLabel("server", server.name.str());
-}
-std::string LabelOf(const Route& route) {
-  return ObjectLabel("route", route.name.str());
-}
-std::string LabelOf(const Organisation& organisation) {
-  return ObjectLabel("organisation", organisation.name.str());
-}
-
 template <typename Object>
 std::vector<std::string> NamesOf(const std::vector<Object>& objects) {
   std::vector<std::string> names;
@@ -54,7 +30,12 @@
         zone_names_(NamesOf(set.zones)),
         service_names_(NamesOf(set.services)) {
     for (const AvailabilityZone& zone : set.zones) {
-      region_of_zone_.emplace(zone.name, zone.region);
+      if (set.FindRegion(zone.region)) {
+        region_of_zone_.emplace(zone.name, zone.region);
+      }
+    }
+    for (const Service& service : set.services) {
+      services_.emplace(service.name, FactsOf(service));
     }
   }
 
@@ -70,6 +51,31 @@
   }
 
  private:
+  struct ServiceFacts {
+    const Service* service = nullptr;
+    std::set<RegionName> regions;  // In which it has a server.
+    bool all_regions_known = true;
+  };
+
+  ServiceFacts FactsOf(const Service& service) const {
+    ServiceFacts facts;
+    facts.service = &service;
+    for (const BackendServer& server : service.servers) {
+      const auto region = region_of_zone_.find(server.zone);
+      if (region == region_of_zone_.end()) {
+        facts.all_regions_known = false;
+      } else {
+        facts.regions.insert(region->second);
+      }
+    }
+    return facts;
+  }
+
+  const ServiceFacts* FindFacts(const ServiceName& name) const {
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : &found->second;
+  }
+
   void Report(FindingKind kind, const std::string& object,
               const std::string& field, std::string problem,
               std::string remedy = "") {
@@ -80,16 +86,24 @@
 
   template <typename Object>
   void CheckNamesOf(const std::vector<Object>& objects, std::string_view kind) {
-    std::set<std::string> seen;
+    std::map<std::string, std::size_t> seen;
     for (const Object& object : objects) {
-      if (object.name.empty()) continue;
-      if (seen.insert(object.name.str()).second) continue;
-      Report(FindingKind::kDuplicateName, ObjectLabel(kind, object.name.str()),
-             "name", "another " + std::string(kind) + " has this name",
-             "give each its own name");
+      const std::size_t earlier = seen[object.name.str()]++;
+      if (earlier == 0 || object.name.empty()) continue;
+      ReportNameTwice(ObjectLabel(kind, object.name.str()), kind, earlier);
     }
   }
 
+  void ReportNameTwice(const std::string& label, std::string_view kind,
+                       std::size_t earlier) {
+    const std::vector<int> lines = context_->lines.OfEach(label);
+    context_->findings.push_back(
+        {FindingKind::kDuplicateName, lines[earlier], label, "name",
+         "the " + std::string(kind) + " in line " + std::to_string(lines[0]) +
+             " has the same name",
+         "give each its own name"});
+  }
+
   void CheckNames() {
     CheckNamesOf(set_.regions, "region");
     CheckNamesOf(set_.zones, "zone");
@@ -104,18 +118,18 @@
     CheckNamesOf(set_.organisations, "organisation");
   }
 
-  // @return whether the reference can be followed
-  bool CheckReference(const std::string& object, const std::string& field,
+  // Reports a name that no object has. An empty name is reported where it is
+  // read.
+  void CheckReference(const std::string& object, const std::string& field,
                       std::string_view kind, const std::string& name,
                       const std::vector<std::string>& existing) {
-    if (name.empty()) return false;
+    if (name.empty()) return;
     if (std::find(existing.begin(), existing.end(), name) != existing.end()) {
-      return true;
+      return;
     }
     Report(FindingKind::kBrokenReference, object, field,
            ObjectLabel(kind, name) + " does not exist",
            DidYouMean(name, existing));
-    return false;
   }
 
   void CheckHomeRegions(const std::string& object,
@@ -228,14 +242,14 @@
   void CheckRoutes() {
     for (const Route& route : set_.routes) {
       CheckKeyLifetime(route);
-      const Service* service = set_.FindService(route.service);
+      const ServiceFacts* service = FindFacts(route.service);
       if (!service) continue;
-      if (service->servers.empty()) {
+      if (service->service->servers.empty()) {
         Report(FindingKind::kContradiction, LabelOf(route), "service",
-               LabelOf(*service) + " has no server");
+               LabelOf(*service->service) + " has no server");
         continue;
       }
-      CheckServerInRegions(route, *service, route.home_regions);
+      CheckServerInRegions(route, *service);
     }
   }
 
@@ -249,24 +263,24 @@
                ", the most for a route that is not idempotent");
   }
 
-  // @return whether a server of the service is in one of the regions
-  bool HasServerIn(const Service& service,
-                   const std::vector<RegionName>& regions) const {
-    return std::any_of(service.servers.begin(), service.servers.end(),
-                       [&](const BackendServer& server) {
-                         const auto region = region_of_zone_.find(server.zone);
-                         // A broken reference is reported by itself.
-                         if (region == region_of_zone_.end()) return true;
-                         return std::find(regions.begin(), regions.end(),
-                                          region->second) != regions.end();
+  // @return whether the service has a server in one of the regions, or may have
+  //     one because the region of a server is not known; that is reported by
+  //     itself
+  static bool HasServerIn(const ServiceFacts& service,
+                          const std::vector<RegionName>& regions) {
+    if (!service.all_regions_known) return true;
+    return std::any_of(regions.begin(), regions.end(),
+                       [&](const RegionName& region) {
+                         return service.regions.count(region) > 0;
                        });
   }
 
-  void CheckServerInRegions(const Route& route, const Service& service,
-                            const std::vector<RegionName>& regions) {
-    if (regions.empty() || HasServerIn(service, regions)) return;
+  void CheckServerInRegions(const Route& route, const ServiceFacts& service) {
+    if (route.home_regions.empty()) return;
+    if (HasServerIn(service, route.home_regions)) return;
     Report(FindingKind::kContradiction, LabelOf(route), "home_regions",
-           LabelOf(service) + " has no server in " + Joined(regions));
+           LabelOf(*service.service) + " has no server in " +
+               JoinNames(route.home_regions));
   }
 
   void CheckOrganisations() {
@@ -283,12 +297,12 @@
     const auto regions = set_.HomeRegions(route, organisation);
     if (regions.empty()) {
       Report(FindingKind::kContradiction, LabelOf(organisation), "home_regions",
-             "none of " + Joined(organisation.home_regions) +
+             "none of " + JoinNames(organisation.home_regions) +
                  " is a home region of " + LabelOf(route));
       return;
     }
-    const Service* service = set_.FindService(route.service);
-    if (!service || service->servers.empty()) return;
+    const ServiceFacts* service = FindFacts(route.service);
+    if (!service || service->service->servers.empty()) return;
     if (HasServerIn(*service, regions)) return;
     // The route by itself is reported by `CheckRoutes`.
     if (!route.home_regions.empty() &&
@@ -296,8 +310,8 @@
       return;
     }
     Report(FindingKind::kContradiction, LabelOf(organisation), "home_regions",
-           LabelOf(*service) + " of " + LabelOf(route) + " has no server in " +
-               Joined(regions));
+           LabelOf(*service->service) + " of " + LabelOf(route) +
+               " has no server in " + JoinNames(regions));
   }
 
   const ObjectSet& set_;
@@ -306,6 +320,7 @@
   std::vector<std::string> zone_names_;
   std::vector<std::string> service_names_;
   std::map<ZoneName, RegionName> region_of_zone_;
+  std::map<ServiceName, ServiceFacts> services_;
 };
 
 }  // namespace
--- a/heatherlatch/yaml/closest_name.cc
+++ b/heatherlatch/yaml/closest_name.cc
@@ -12,15 +12,21 @@
 }  // namespace
 
 std::size_t EditDistance(std::string_view a, std::string_view b) {
+  // Rows of the table of distances between prefixes: two above, one above, own.
+  std::vector<std::size_t> second(b.size() + 1);
+  std::vector<std::size_t> first(b.size() + 1);
   std::vector<std::size_t> row(b.size() + 1);
   std::iota(row.begin(), row.end(), 0);
   for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = row[0];
+    second.swap(first);
+    first.swap(row);
     row[0] = i;
     for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+      const std::size_t cost = a[i - 1] == b[j - 1] ? 0 : 1;
+      row[j] = std::min({first[j] + 1, row[j - 1] + 1, first[j - 1] + cost});
+      const bool swapped =
+          i > 1 && j > 1 && a[i - 1] == b[j - 2] && a[i - 2] == b[j - 1];
+      if (swapped) row[j] = std::min(row[j], second[j - 2] + 1);
     }
   }
   return row[b.size()];
--- a/heatherlatch/yaml/closest_name.h
+++ b/heatherlatch/yaml/closest_name.h
@@ -11,8 +11,8 @@
 
 namespace heatherlatch {
 
-// @return the number of inserted, removed or replaced bytes between two texts
-//     (Levenshtein distance)
+// @return the number of bytes to insert, remove or replace, or of neighbours to
+//     swap, to make one text of the other (optimal string alignment distance)
 std::size_t EditDistance(std::string_view a, std::string_view b);
 
 // @return the candidate with the smallest edit distance to `text`, if it is at
--- a/heatherlatch/yaml/mapping_reader.cc
+++ b/heatherlatch/yaml/mapping_reader.cc
@@ -60,16 +60,25 @@
 
 }  // namespace
 
-void SourceLines::Note(const std::string& object, const std::string& field,
-                       int line) {
-  lines_.emplace(std::make_pair(object, field), line);
+void SourceLines::NoteObject(const std::string& object, int line) {
+  object_lines_[object].push_back(line);
+}
+
+void SourceLines::NoteField(const std::string& object, const std::string& field,
+                            int line) {
+  field_lines_.emplace(std::make_pair(object, field), line);
 }
 
 int SourceLines::Of(const std::string& object, const std::string& field) const {
-  const auto field_line = lines_.find({object, field});
-  if (field_line != lines_.end()) return field_line->second;
-  const auto object_line = lines_.find({object, ""});
-  return object_line == lines_.end() ? 0 : object_line->second;
+  const auto field_line = field_lines_.find({object, field});
+  if (field_line != field_lines_.end()) return field_line->second;
+  const auto object_lines = object_lines_.find(object);
+  return object_lines == object_lines_.end() ? 0 : object_lines->second.front();
+}
+
+std::vector<int> SourceLines::OfEach(const std::string& object) const {
+  const auto found = object_lines_.find(object);
+  return found == object_lines_.end() ? std::vector<int>() : found->second;
 }
 
 MappingReader::MappingReader(const YAML::Node& node, std::string object,
@@ -78,7 +87,7 @@
       object_(std::move(object)),
       context_(context),
       valid_(node.IsMap()) {
-  context_->lines.Note(object_, "", LineOf(node_));
+  context_->lines.NoteObject(object_, LineOf(node_));
   if (!valid_) {
     Report(FindingKind::kWrongType, "", "is not a mapping",
            "write lines such as \"key: value\"");
@@ -91,7 +100,7 @@
   if (!valid_) return std::nullopt;
   for (const auto& entry : node_) {
     if (!entry.first.IsScalar() || entry.first.Scalar() != field) continue;
-    context_->lines.Note(object_, std::string(field), LineOf(entry.first));
+    context_->lines.NoteField(object_, std::string(field), LineOf(entry.first));
     if (entry.second.IsNull()) break;
     return entry.second;
   }
@@ -116,6 +125,14 @@
   return Scalar(field, presence, "a text");
 }
 
+std::optional<std::string> MappingReader::Reference(std::string_view field,
+                                                    Presence presence) {
+  auto text = Scalar(field, presence, "a name");
+  if (!text || !text->empty()) return text;
+  Report(FindingKind::kOutOfRange, field, "is empty");
+  return std::nullopt;
+}
+
 std::optional<bool> MappingReader::Boolean(std::string_view field,
                                            Presence presence) {
   const auto text = Scalar(field, presence, "true or false");
@@ -245,12 +262,16 @@
   const auto entries = Sequence(field, presence);
   if (!entries) return std::nullopt;
   std::vector<std::string> texts;
+  int number = 0;
   for (const YAML::Node& entry : *entries) {
-    if (entry.IsScalar()) {
-      texts.push_back(entry.Scalar());
+    ++number;
+    const std::string label = "entry " + std::to_string(number);
+    if (!entry.IsScalar()) {
+      Report(FindingKind::kWrongType, field, label + " is not a text");
+    } else if (entry.Scalar().empty()) {
+      Report(FindingKind::kOutOfRange, field, label + " is empty");
     } else {
-      Report(FindingKind::kWrongType, field,
-             "entry " + std::to_string(texts.size() + 1) + " is not a text");
+      texts.push_back(entry.Scalar());
     }
   }
   return texts;
--- a/heatherlatch/yaml/mapping_reader.h
+++ b/heatherlatch/yaml/mapping_reader.h
@@ -44,14 +44,20 @@
 // Where each field of each object stands in the document.
 class SourceLines {
  public:
-  void Note(const std::string& object, const std::string& field, int line);
+  void NoteObject(const std::string& object, int line);
+  void NoteField(const std::string& object, const std::string& field, int line);
 
   // @return the line of the field, or of the object where the field is absent;
   //     0 where neither is known
   int Of(const std::string& object, const std::string& field = "") const;
 
+  // @return the lines of every object of this name, in the order of the
+  //     document
+  std::vector<int> OfEach(const std::string& object) const;
+
  private:
-  std::map<std::pair<std::string, std::string>, int> lines_;
+  std::map<std::string, std::vector<int>> object_lines_;
+  std::map<std::pair<std::string, std::string>, int> field_lines_;
 };
 
 // What reading a document produces besides the values.
@@ -69,6 +75,9 @@
                 ReadContext* context);
 
   std::optional<std::string> Text(std::string_view field, Presence presence);
+  // Reads the name of another object; an empty text is reported.
+  std::optional<std::string> Reference(std::string_view field,
+                                       Presence presence);
   std::optional<bool> Boolean(std::string_view field, Presence presence);
   std::optional<int> Integer(std::string_view field, Presence presence,
                              Range<int> range);
@@ -91,6 +100,7 @@
   std::optional<std::string> ObjectName(std::string_view field,
                                         Presence presence);
 
+  // Reads a list of texts; an entry that is empty is reported and left out.
   std::optional<std::vector<std::string>> TextList(std::string_view field,
                                                    Presence presence);
 
