--- a/heatherlatch/objects/check_test.cc
+++ b/heatherlatch/objects/check_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using Texts = std::vector<std::string>;
+const Texts kNone;
 
 struct Mistake {
   std::string from;
@@ -24,9 +25,9 @@
 }
 
 TEST_CASE("the examples and the small document pass the check") {
-  CHECK(FindingsOf(kSmallDocument) == Texts{});
-  CHECK(FindingsOf(ReadExample("cooperative.yaml")) == Texts{});
-  CHECK(FindingsOf(ReadExample("qalaa.yaml")) == Texts{});
+  CHECK(FindingsOf(kSmallDocument) == kNone);
+  CHECK(FindingsOf(ReadExample("cooperative.yaml")) == kNone);
+  CHECK(FindingsOf(ReadExample("qalaa.yaml")) == kNone);
 }
 
 TEST_CASE("values are read with their units and defaults") {
@@ -36,7 +37,7 @@
                                      "    max_request_bytes: 2MB"));
   const Route& tally = set->routes[0];
   CHECK(tally.deadline == std::chrono::milliseconds(250));
-  CHECK(tally.max_request_bytes == 2 * 1024 * 1024);
+  CHECK(tally.max_request_bytes == 2097152);
   CHECK(set->routes[1].deadline == Route().deadline);
   CHECK_FALSE(set->routes[1].idempotent);
   CHECK(set->services[0].servers[1].service == ServiceName("reads"));
@@ -216,16 +217,22 @@
   std::string document = Replaced(kSmallDocument, "- name: south", "- nam: s");
   document = Replaced(document, "slots_per_server: 3", "slots_per_server: x");
   document = Replaced(document, "service: writes", "service: write");
-  CHECK(FindingsOf(document) ==
-        Texts{"missing-field line 3: region 2, field name: is missing",
-              "unknown-key line 3: region 2, field nam: is not a known field "
-              "(did you mean \"name\"?)",
-              "broken-reference line 6: zone \"south-a\", field region: region "
-              "\"south\" does not exist",
-              "wrong-type line 9: service \"reads\", field slots_per_server: "
-              "\"x\" is not a whole number",
-              "broken-reference line 27: route \"adjust\", field service: "
-              "service \"write\" does not exist (did you mean \"writes\"?)"});
+  const Texts findings = FindingsOf(document);
+  REQUIRE(findings.size() == 5);
+  CHECK(findings[0] ==
+        "missing-field line 3: region 2, field name: is missing");
+  CHECK(findings[1] ==
+        "unknown-key line 3: region 2, field nam: is not a known field (did "
+        "you mean \"name\"?)");
+  CHECK(findings[2] ==
+        "broken-reference line 6: zone \"south-a\", field region: region "
+        "\"south\" does not exist");
+  CHECK(findings[3] ==
+        "wrong-type line 9: service \"reads\", field slots_per_server: \"x\" "
+        "is not a whole number");
+  CHECK(findings[4] ==
+        "broken-reference line 27: route \"adjust\", field service: service "
+        "\"write\" does not exist (did you mean \"writes\"?)");
 }
 
 TEST_CASE("a missing section gives no follow-on findings") {
--- a/heatherlatch/objects/diff.cc
+++ b/heatherlatch/objects/diff.cc
@@ -177,8 +177,8 @@
   void WarnAboutServices() {
     for (const auto& [name, pair] :
          PairByName(before_.services, after_.services)) {
-      if (pair.before && pair.after)
-        WarnAboutService(*pair.before, *pair.after);
+      if (!pair.before || !pair.after) continue;
+      WarnAboutService(*pair.before, *pair.after);
     }
   }
 
--- a/heatherlatch/objects/diff_test.cc
+++ b/heatherlatch/objects/diff_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using Texts = std::vector<std::string>;
+const Texts kNone;
 
 // @return the small document with the first `from` replaced
 std::shared_ptr<const ObjectSet> Changed(const std::string& from,
@@ -55,7 +56,7 @@
               "service; 13 of 13 servers of service \"ledger-adjustments\" are "
               "in service; 12 of 12 servers of service "
               "\"catalogue-downloads\" are in service"});
-  CHECK(WarningsFrom(*after, *before) == Texts{});
+  CHECK(WarningsFrom(*after, *before) == kNone);
 }
 
 TEST_CASE("the last zone of a region is warned of, with its routes") {
@@ -72,7 +73,7 @@
               "service in north",
               "home-regions-without-server: route \"tally\" for organisation "
               "\"audit\" has no server in service in north"});
-  CHECK(WarningsFrom(*after, *after) == Texts{});
+  CHECK(WarningsFrom(*after, *after) == kNone);
 }
 
 TEST_CASE("changes of fields and objects are described") {
@@ -112,7 +113,7 @@
               "callers that still repeat a request after it are answered that "
               "the outcome is unknown"});
   CHECK(WarningsFrom(*before, *Changed("resend_window: 20s",
-                                       "resend_window: 30s")) == Texts{});
+                                       "resend_window: 30s")) == kNone);
 }
 
 }  // namespace
--- a/heatherlatch/objects/internal/capacity.cc
+++ b/heatherlatch/objects/internal/capacity.cc
@@ -3,6 +3,14 @@
 #include <algorithm>
 
 namespace heatherlatch::internal {
+namespace {
+
+bool Allows(const std::vector<RegionName>& regions, const RegionName& region) {
+  return regions.empty() ||
+         std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+}  // namespace
 
 Capacity::Capacity(const ObjectSet& set) {
   for (const AvailabilityZone& zone : set.zones) {
@@ -25,15 +33,12 @@
 
 bool Capacity::HasServerIn(const Service& service,
                            const std::vector<RegionName>& regions) const {
-  return std::any_of(service.servers.begin(), service.servers.end(),
-                     [&](const BackendServer& server) {
-                       const auto zone = zones_.find(server.zone);
-                       if (zone == zones_.end() || !zone->second->in_service)
-                         return false;
-                       return regions.empty() ||
-                              std::find(regions.begin(), regions.end(),
-                                        zone->second->region) != regions.end();
-                     });
+  const auto serves = [&](const BackendServer& server) {
+    const auto zone = zones_.find(server.zone);
+    if (zone == zones_.end()) return false;
+    return zone->second->in_service && Allows(regions, zone->second->region);
+  };
+  return std::any_of(service.servers.begin(), service.servers.end(), serves);
 }
 
 int Capacity::ZonesInService(const RegionName& region) const {
