Prove promises with real processes against the stand-ins

Also: a rejected set was read again every 50 ms by each reader, because the watch asked for what is newer than the set in force; it now asks for what is newer than anything read.

--- a/heatherlatch/entry/control_loop.cc
+++ b/heatherlatch/entry/control_loop.cc
@@ -306,6 +306,7 @@
 void ControlLoop::OnDocument(const ConfigurationDocument& document,
                              TimePoint now) {
   const OfferResult result = keeper_.Offer(document, now);
+  revision_seen_ = std::max(revision_seen_.load(), document.revision);
   if (const auto* rejected = std::get_if<Rejected>(&result)) {
     parts_.log->Write(EventId::kConfigurationRejected,
                       {{"revision", std::to_string(rejected->revision)},
@@ -313,7 +314,6 @@
     return;
   }
   if (!std::holds_alternative<Accepted>(result)) return;
-  revision_in_force_ = keeper_.InForce();
   parts_.log->Write(EventId::kConfigurationAccepted,
                     {{"revision", std::to_string(keeper_.InForce())}});
   ApplyLimits();
@@ -429,7 +429,7 @@
 
 void ControlLoop::WatchConfiguration() {
   while (!stopping_) {
-    const Revision known = revision_in_force_;
+    const Revision known = revision_seen_;
     if (known > 0 && !IsReader()) {
       SleepUnlessStopping(settings_.list_interval);
       continue;
--- a/heatherlatch/entry/control_loop.h
+++ b/heatherlatch/entry/control_loop.h
@@ -137,7 +137,9 @@
   std::condition_variable wake_;
   std::vector<std::function<void()>> tasks_;
   std::atomic<bool> stopping_{false};
-  std::atomic<Revision> revision_in_force_{0};
+  // Newest revision that was read, accepted or not, so that a rejected one is
+  // not read again and again.
+  std::atomic<Revision> revision_seen_{0};
   PlatformClient platform_;
   std::thread control_thread_;
   std::thread watch_thread_;
--- /dev/null
+++ b/tests/answer_process_test.cc
@@ -0,0 +1,130 @@
+// Whole answers, true refusals and home regions.
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "tests/harness/local_deployment.h"
+
+namespace heatherlatch::testing {
+namespace {
+
+using standins::BackendFault;
+using standins::BackendServer;
+
+TEST_CASE("an answer that a backend server cuts never looks whole",
+          "[promise-05]") {
+  LocalDeployment deployment;
+  deployment.StartAll();
+  BackendFault fault;
+  fault.half_bodies = true;
+  for (const char* service : {"reads", "writes", "downloads"}) {
+    deployment.ForServers(
+        service, [&](BackendServer& server) { server.SetFault(fault); });
+  }
+  const HttpReply read = deployment.Read(0);
+  CHECK(read.status == 502);
+  CHECK(read.Outcome() == "unknown");
+  const HttpReply download = deployment.Download(0);
+  CHECK((!download.whole || download.status != 200));
+  const std::string ticket = deployment.Ticket(0);
+  const HttpReply write = deployment.WriteTicket(0, ticket);
+  CHECK(write.Outcome() == "unknown");
+  CHECK(deployment.RunsOf(ticket).size() == 1);
+}
+
+TEST_CASE("answers that arrive late reach only their own request",
+          "[promise-05]") {
+  DeploymentOptions options;
+  options.read_time = std::chrono::milliseconds(100);
+  LocalDeployment deployment(options);
+  deployment.StartAll();
+  std::vector<std::thread> callers;
+  std::atomic<int> wrong{0};
+  for (int caller = 0; caller < 12; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; i < 10; ++i) {
+        HttpCall call;
+        call.target = "/reads/caller-" + std::to_string(caller);
+        const std::string id =
+            "id-" + std::to_string(caller) + "-" + std::to_string(i);
+        call.headers = {"X-Request-Id: " + id};
+        // Every third caller gives up early, so its answer arrives late.
+        if (i % 3 == 0) call.timeout = std::chrono::milliseconds(40);
+        const HttpReply reply = deployment.Send(caller % 3, call);
+        if (!reply.whole || reply.status != 200) continue;
+        if (reply.Header("x-request-id") != id) ++wrong;
+      }
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  CHECK(wrong == 0);
+}
+
+TEST_CASE("a refusal that says not run is true", "[promise-06]") {
+  LocalDeployment deployment;
+  deployment.StartAll();
+
+  SECTION("no server can be reached") {
+    deployment.ForServers("writes",
+                          [](BackendServer& server) { server.Stop(); });
+    const std::string ticket = deployment.Ticket(0);
+    const HttpReply reply = deployment.WriteTicket(0, ticket);
+    CHECK(reply.Outcome() == "not-run");
+    CHECK(deployment.RunsOf(ticket).empty());
+  }
+  SECTION("every server is draining") {
+    BackendFault draining;
+    draining.draining = true;
+    deployment.ForServers(
+        "writes", [&](BackendServer& server) { server.SetFault(draining); });
+    const std::string ticket = deployment.Ticket(0);
+    const HttpReply reply = deployment.WriteTicket(0, ticket);
+    CHECK(reply.Outcome() == "not-run");
+    CHECK(deployment.RunsOf(ticket).empty());
+  }
+  SECTION("a server takes the request and never answers") {
+    BackendFault silent;
+    silent.black_hole = true;
+    deployment.ForServers(
+        "writes", [&](BackendServer& server) { server.SetFault(silent); });
+    const std::string ticket = deployment.Ticket(0);
+    const HttpReply reply = deployment.WriteTicket(0, ticket);
+    CHECK(reply.Outcome() == "unknown");
+  }
+}
+
+TEST_CASE("an unchecked refusal under a key does not say not run",
+          "[promise-06]") {
+  LocalDeployment deployment;
+  deployment.StartAll();
+  const std::string ticket = deployment.Ticket(0);
+  REQUIRE(deployment.WriteTicket(0, ticket).Outcome() == "ran");
+  // The southern host may not serve the route and has no record of the ticket.
+  const HttpReply elsewhere = deployment.WriteTicket(3, ticket);
+  CHECK(elsewhere.status == 421);
+  CHECK(elsewhere.Outcome() == "unknown");
+}
+
+TEST_CASE("a request is served in its home regions only", "[promise-04]") {
+  LocalDeployment deployment;
+  deployment.StartAll();
+
+  SECTION("a host outside them refuses and says where to go") {
+    const HttpReply reply = deployment.WriteKey(3, "k");
+    CHECK(reply.status == 421);
+    CHECK(reply.Header("heatherlatch-home-regions") == "north");
+    CHECK(deployment.RunsOf("k").empty());
+    CHECK(deployment.Log(3).find("request-body") == std::string::npos);
+  }
+  SECTION("the whole home region is out of service") {
+    deployment.Publish({"north-a", "north-b"});
+    const std::string ticket = deployment.Ticket(0);
+    REQUIRE(Eventually(
+        [&] { return deployment.Status(0).value("revision", 0) == 2; }));
+    const HttpReply reply = deployment.WriteTicket(0, ticket);
+    CHECK(reply.Outcome() == "not-run");
+    CHECK(deployment.RunsOf(ticket).empty());
+  }
+}
+
+}  // namespace
+}  // namespace heatherlatch::testing
--- /dev/null
+++ b/tests/harness/local_deployment.h
@@ -0,0 +1,144 @@
+// A deployment for a test: entry hosts as real processes on loopback, and the
+// stand-ins for the platform and the backend servers inside the test.
+//
+// Regions north and south, two availability zones each. Services: `reads`
+// (small, idempotent, two servers in each zone), `writes` (not idempotent, home
+// region north, two servers in each northern zone) and `downloads` (heavy, one
+// server in each northern zone).
+//
+// Example:
+//   LocalDeployment deployment;
+//   deployment.StartAll();
+//   HttpReply reply = deployment.Read(0);
+//
+// Thread safety: `Send` and its kin may be called from any thread, the rest
+// from one thread.
+#ifndef TESTS_HARNESS_LOCAL_DEPLOYMENT_H_
+#define TESTS_HARNESS_LOCAL_DEPLOYMENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "standins/backend/backend_fleet.h"
+#include "standins/platform/platform_service.h"
+#include "tests/harness/child_process.h"
+#include "tests/harness/http_call.h"
+
+namespace heatherlatch::testing {
+
+struct HostPlace {
+  std::string name;
+  std::string region;
+  std::string zone;
+  bool sees_platform = true;  // False: its settings name a dead endpoint.
+};
+
+struct DeploymentOptions {
+  std::vector<HostPlace> hosts = {{"entry-1", "north", "north-a"},
+                                  {"entry-2", "north", "north-a"},
+                                  {"entry-3", "north", "north-b"},
+                                  {"entry-4", "south", "south-a"}};
+  std::chrono::seconds resend_window{2};
+  std::chrono::seconds write_deadline{2};
+  std::chrono::milliseconds read_time{8};
+  std::chrono::milliseconds write_time{8};
+  std::chrono::milliseconds probe_cost{1};
+  double probe_budget = 0.01;
+  std::uint64_t download_bytes = 2000000;
+  std::uint64_t download_bytes_per_second = 0;  // 0: no limit.
+  std::chrono::milliseconds cold_time{0};       // After a backend restart.
+};
+
+class LocalDeployment {
+ public:
+  explicit LocalDeployment(DeploymentOptions options = {});
+  ~LocalDeployment();
+
+  // Starts every host and waits until all are ready.
+  void StartAll();
+  void StartHost(std::size_t host);
+  void WaitUntilReady(std::size_t host);
+
+  void Kill(std::size_t host);
+  void Pause(std::size_t host);
+  void Resume(std::size_t host);
+  // Asks a host to stop gracefully.
+  void BeginStop(std::size_t host);
+  // @return the exit code of a host that was asked to stop
+  int WaitForStop(std::size_t host);
+
+  // Publishes the objects with these zones out of service.
+  // @return the revision
+  std::uint64_t Publish(const std::set<std::string>& zones_out = {});
+  // Publishes any text.
+  std::uint64_t PublishText(const std::string& yaml);
+  // @return the objects as `Publish` writes them
+  std::string Objects(const std::set<std::string>& zones_out) const;
+  // Replaces the platform's list; `leaving` names backend servers.
+  void List(const std::set<std::string>& leaving);
+
+  HttpReply Send(std::size_t host, HttpCall call) const;
+  HttpReply Read(std::size_t host, const std::string& path = "/reads/x") const;
+  HttpReply Download(std::size_t host) const;
+  // Sends a write under a caller's key.
+  HttpReply WriteKey(std::size_t host, const std::string& key,
+                     const std::string& body = "one") const;
+  // Sends a write under a ticket.
+  HttpReply WriteTicket(std::size_t host, const std::string& ticket,
+                        const std::string& body = "one") const;
+  // @return a ticket that the host has issued
+  std::string Ticket(std::size_t host) const;
+  // Waits until writes under new keys run at the host.
+  void WaitForKeys(std::size_t host) const;
+
+  nlohmann::json Status(std::size_t host) const;
+  // @return the text of a host's log
+  std::string Log(std::size_t host) const;
+
+  standins::PlatformService& platform() { return *platform_; }
+  standins::BackendServer& server(const std::string& name);
+  // Calls `action` with each backend server of a service.
+  void ForServers(const std::string& service,
+                  const std::function<void(standins::BackendServer&)>& action);
+  // @return the runs that carry a key or ticket
+  std::vector<standins::Run> RunsOf(const std::string& key) const;
+  std::vector<standins::Run> AllRuns() const;
+  std::vector<std::string> RepeatedKeys() const;
+  std::size_t host_count() const { return options_.hosts.size(); }
+
+ private:
+  struct Host {
+    Endpoint caller;
+    Endpoint admin;
+    Endpoint peer;
+    std::unique_ptr<ChildProcess> process;
+  };
+
+  std::string SettingsOf(std::size_t host) const;
+  std::string ServersYaml(const std::string& service) const;
+  void WriteFile(const std::string& name, const std::string& text) const;
+
+  const DeploymentOptions options_;
+  std::string directory_;
+  Endpoint platform_endpoint_;
+  Endpoint dead_endpoint_;
+  std::vector<Host> hosts_;
+  std::vector<standins::BackendServerOptions> servers_;
+  std::vector<std::string> server_zones_;
+  std::unique_ptr<standins::BackendFleet> fleet_;
+  std::unique_ptr<standins::PlatformService> platform_;
+};
+
+// Waits until a condition holds.
+// @return whether it held within `limit`
+bool Eventually(const std::function<bool()>& condition,
+                std::chrono::seconds limit = std::chrono::seconds(30));
+
+}  // namespace heatherlatch::testing
+
+#endif  // TESTS_HARNESS_LOCAL_DEPLOYMENT_H_
--- /dev/null
+++ b/tests/stop_process_test.cc
@@ -0,0 +1,85 @@
+// Planned stops under load.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "tests/harness/local_deployment.h"
+
+namespace heatherlatch::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a planned stop cuts no request in flight", "[promise-09]") {
+  DeploymentOptions options;
+  options.write_time = milliseconds(1500);
+  options.download_bytes = 4000000;
+  options.download_bytes_per_second = 500000;
+  LocalDeployment deployment(options);
+  deployment.StartAll();
+  const std::string ticket = deployment.Ticket(0);
+  HttpReply download;
+  HttpReply write;
+  std::thread downloader([&] { download = deployment.Download(0); });
+  std::thread writer([&] { write = deployment.WriteTicket(0, ticket); });
+  REQUIRE(Eventually([&] { return deployment.AllRuns().size() >= 2; }));
+  deployment.BeginStop(0);
+  const HttpReply late = deployment.Read(0);
+  CHECK(late.Outcome() == "ran");
+  downloader.join();
+  writer.join();
+  CHECK(deployment.WaitForStop(0) == 0);
+  CHECK(write.Outcome() == "ran");
+  CHECK(download.whole);
+  CHECK(download.body.size() == options.download_bytes);
+}
+
+TEST_CASE("every host restarted one after another cuts no request",
+          "[promise-09]") {
+  LocalDeployment deployment;
+  deployment.StartAll();
+  std::atomic<int> stopping{-1};
+  std::atomic<bool> stop{false};
+  std::atomic<int> served{0};
+  std::atomic<int> cut{0};
+  std::vector<std::string> problems;
+  std::mutex mutex;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 6; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = caller; !stop; ++i) {
+        // Like the platform's balancer, which avoids a host that leaves.
+        const int host = i % 3;
+        if (host == stopping) continue;
+        const HttpReply reply = deployment.Read(host);
+        if (reply.whole && reply.Outcome() == "ran") {
+          ++served;
+          continue;
+        }
+        ++cut;
+        std::lock_guard lock(mutex);
+        problems.push_back(reply.Reason() + " at " + std::to_string(host));
+      }
+    });
+  }
+  for (int host = 0; host < 3; ++host) {
+    std::this_thread::sleep_for(milliseconds(500));
+    deployment.BeginStop(host);
+    // The balancer goes on sending for a while.
+    std::this_thread::sleep_for(seconds(1));
+    stopping = host;
+    CHECK(deployment.WaitForStop(host) == 0);
+    deployment.StartHost(host);
+    deployment.WaitUntilReady(host);
+    stopping = -1;
+  }
+  stop = true;
+  for (std::thread& caller : callers) caller.join();
+  for (const std::string& problem : problems) UNSCOPED_INFO(problem);
+  CHECK(cut == 0);
+  CHECK(served > 100);
+}
+
+}  // namespace
+}  // namespace heatherlatch::testing
