Add the placement experiment, and mend RankGroups and the slow-server test by it

Cause: RankGroups with the cost form of the paper (way plus queue length over service rate) sent requests across zones while both zones were full.

Change: in another zone the wait counts twice, and a group there with more than 40 ms of wait is left out while a nearer one has slots.

--- /dev/null
+++ b/benchmarks/experiment/policies.cc
@@ -0,0 +1,443 @@
+#include "benchmarks/experiment/policies.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <numeric>
+#include <utility>
+
+#include "heatherlatch/placement/group_owner.h"
+
+namespace heatherlatch::experiment {
+namespace {
+
+constexpr Duration kReportInterval = std::chrono::milliseconds(100);
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(1);
+constexpr int kMostDirectAttempts = 50;
+constexpr int kMostShedRetries = 3;
+
+// The cost form of the paper on packet-in redirection: the delay of the way
+// plus queue length over service rate.
+Duration QueueCost(const GroupCandidate& candidate) {
+  constexpr Duration kFarWay = std::chrono::milliseconds(4);
+  const bool near = candidate.distance == Distance::kSameZone;
+  const Duration way = near ? Duration::zero() : kFarWay;
+  if (!candidate.load) return way;
+  const int slots = std::max(candidate.load->usable_slots, 1);
+  return way + candidate.load->mean_service_time *
+                   (candidate.load->waiting + 1) / slots;
+}
+
+std::vector<std::size_t> RankByQueueCost(
+    const std::vector<GroupCandidate>& candidates) {
+  std::vector<std::size_t> ranking(candidates.size());
+  std::iota(ranking.begin(), ranking.end(), 0);
+  std::stable_sort(ranking.begin(), ranking.end(),
+                   [&candidates](std::size_t a, std::size_t b) {
+                     return QueueCost(candidates[a]) < QueueCost(candidates[b]);
+                   });
+  return ranking;
+}
+
+WorkEnd EndOf(const CallReport& report) {
+  return report.end == CallEnd::kAnswered ? WorkEnd::kAnswered
+                                          : WorkEnd::kFailed;
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------------------
+// DirectPolicy
+
+DirectPolicy::DirectPolicy(EventLoop* loop, Fleet* fleet, Choice choice,
+                           std::uint64_t seed)
+    : loop_(loop),
+      fleet_(fleet),
+      choice_(choice),
+      random_(seed),
+      reported_(fleet->servers.size()),
+      outstanding_(fleet->shape.hosts, std::vector<int>(fleet->servers.size())),
+      zone_in_service_(kZones, true) {
+  loop_->After(Duration::zero(), [this] { TakeReports(); });
+}
+
+void DirectPolicy::TakeReports() {
+  for (std::size_t i = 0; i < fleet_->servers.size(); ++i) {
+    reported_[i] = fleet_->servers[i]->in_flight();
+  }
+  loop_->After(kReportInterval, [this] { TakeReports(); });
+}
+
+void DirectPolicy::SetZoneInService(int zone, bool in_service) {
+  zone_in_service_[zone] = in_service;
+}
+
+std::size_t DirectPolicy::Pick(int host) {
+  std::vector<std::size_t> servers;
+  for (std::size_t i = 0; i < fleet_->servers.size(); ++i) {
+    if (zone_in_service_[fleet_->servers[i]->zone()]) servers.push_back(i);
+  }
+  std::shuffle(servers.begin(), servers.end(), random_);
+  const auto& own = outstanding_[host];
+  switch (choice_) {
+    case Choice::kRandom:
+      return servers[0];
+    case Choice::kTwoChoicesOnReports:
+      return reported_[servers[0]] <= reported_[servers[1]] ? servers[0]
+                                                            : servers[1];
+    case Choice::kLeastOwnOutstanding:
+      return *std::min_element(
+          servers.begin(), servers.end(),
+          [&own](std::size_t a, std::size_t b) { return own[a] < own[b]; });
+  }
+  return servers[0];
+}
+
+void DirectPolicy::Start(const Work& work, const Done& done) {
+  Try(work, done, 0);
+}
+
+void DirectPolicy::Try(const Work& work, const Done& done, int attempt) {
+  if (attempt >= kMostDirectAttempts || loop_->Now() >= work.deadline) {
+    done(WorkEnd::kRefused);
+    return;
+  }
+  const std::size_t index = Pick(work.host);
+  FakeServer* server = fleet_->servers[index].get();
+  const Duration hop =
+      Fleet::Hop(fleet_->ZoneOfHost(work.host), server->zone());
+  ++outstanding_[work.host][index];
+  const auto on_answer = [=](const CallReport& report) {
+    loop_->After(hop, [=] {
+      --outstanding_[work.host][index];
+      if (report.end != CallEnd::kShed) {
+        done(EndOf(report));
+        return;
+      }
+      loop_->After(kRetryDelay, [=] { Try(work, done, attempt + 1); });
+    });
+  };
+  loop_->After(hop, [=] { server->Call(work.service_time, on_answer); });
+}
+
+// ---------------------------------------------------------------------------
+// CentralPolicy
+
+CentralPolicy::CentralPolicy(EventLoop* loop, Fleet* fleet)
+    : loop_(loop), fleet_(fleet), zone_in_service_(kZones, true) {}
+
+void CentralPolicy::SetZoneInService(int zone, bool in_service) {
+  zone_in_service_[zone] = in_service;
+  Dispatch();
+}
+
+void CentralPolicy::Start(const Work& work, const Done& done) {
+  waiting_.push_back({work, done});
+  Dispatch();
+}
+
+FakeServer* CentralPolicy::PickFree() {
+  FakeServer* best = nullptr;
+  for (const auto& server : fleet_->servers) {
+    if (!zone_in_service_[server->zone()]) continue;
+    if (best == nullptr || granted_[server.get()] < granted_[best]) {
+      best = server.get();
+    }
+  }
+  const bool free = best != nullptr && granted_[best] < fleet_->shape.slots;
+  return free ? best : nullptr;
+}
+
+void CentralPolicy::Dispatch() {
+  while (!waiting_.empty()) {
+    if (waiting_.front().work.deadline <= loop_->Now()) {
+      waiting_.front().done(WorkEnd::kRefused);
+      waiting_.pop_front();
+      continue;
+    }
+    FakeServer* server = PickFree();
+    if (server == nullptr) return;
+    const Waiting next = waiting_.front();
+    waiting_.pop_front();
+    ++granted_[server];
+    loop_->After(kHopInZone, [this, server, next] {
+      server->Call(next.work.service_time, [this, server,
+                                            next](const CallReport& report) {
+        --granted_[server];
+        loop_->After(kHopInZone, [next, report] { next.done(EndOf(report)); });
+        Dispatch();
+      });
+    });
+  }
+}
+
+// ---------------------------------------------------------------------------
+// OwnerProcess
+
+OwnerProcess::OwnerProcess(EventLoop* loop, const GroupOptions& options,
+                           const std::vector<GroupServer>& servers)
+    : loop_(loop), scheduler_(options, loop->Now()) {
+  SetServers(servers);
+}
+
+void OwnerProcess::SetServers(const std::vector<GroupServer>& servers) {
+  Deliver(scheduler_.SetServers(servers, loop_->Now()));
+}
+
+void OwnerProcess::Acquire(SlotRequest request, const Decide& decide) {
+  request.waiter = next_waiter_++;
+  const AcquireResult result = scheduler_.Acquire(request, loop_->Now());
+  if (const auto* granted = std::get_if<SlotGranted>(&result)) {
+    decide(SlotDecision(*granted));
+  } else if (const auto* refused = std::get_if<SlotRefused>(&result)) {
+    decide(SlotDecision(*refused));
+  } else {
+    waiting_.emplace(request.waiter, decide);
+  }
+  SetTimer();
+}
+
+void OwnerProcess::Release(GrantId grant, const CallReport& report) {
+  Deliver(scheduler_.Release(grant, report, loop_->Now()));
+}
+
+void OwnerProcess::Deliver(const std::vector<SlotDecision>& decisions) {
+  for (const SlotDecision& decision : decisions) {
+    const WaiterId waiter =
+        std::visit([](const auto& d) { return d.waiter; }, decision);
+    const auto found = waiting_.find(waiter);
+    const Decide decide = found->second;
+    waiting_.erase(found);
+    decide(decision);
+  }
+  SetTimer();
+}
+
+void OwnerProcess::SetTimer() {
+  const auto next = scheduler_.NextDeadline();
+  if (!next || *next >= timer_) return;
+  timer_ = *next;
+  loop_->At(timer_, [this] {
+    timer_ = TimePoint::max();
+    Deliver(scheduler_.Advance(loop_->Now()));
+  });
+}
+
+// ---------------------------------------------------------------------------
+// OwnerPolicy
+
+OwnerPolicy::OwnerPolicy(EventLoop* loop, Fleet* fleet,
+                         const OwnerPolicyOptions& options)
+    : loop_(loop),
+      fleet_(fleet),
+      options_(options),
+      zone_in_service_(kZones, true) {
+  MakeGroups();
+  known_.assign(fleet->shape.hosts, std::vector<Knowledge>(groups_.size()));
+  loop_->After(kHeartbeatInterval, [this] { SendHeartbeats(); });
+}
+
+void OwnerPolicy::MakeGroups() {
+  const bool by_server =
+      options_.grouping == OwnerPolicyOptions::Grouping::kServer;
+  const std::size_t count = by_server ? fleet_->servers.size() : kZones;
+  groups_.resize(count);
+  for (std::size_t i = 0; i < fleet_->servers.size(); ++i) {
+    FakeServer* server = fleet_->servers[i].get();
+    Group& group = groups_[by_server ? i : server->zone()];
+    group.zone = server->zone();
+    group.servers.push_back(server);
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    Group& group = groups_[i];
+    group.id = {ServiceName(fleet_->shape.name + std::to_string(i)),
+                ZoneName("zone-" + std::to_string(group.zone))};
+    group.owners.push_back(MakeOwner(group));
+    group.owner_hosts.push_back(OwnerHost(group, HostsOfZone(group.zone)));
+    group.owner_seen.assign(fleet_->shape.hosts, 0);
+  }
+}
+
+std::shared_ptr<OwnerProcess> OwnerPolicy::MakeOwner(const Group& group) {
+  GroupOptions options;
+  options.slots_per_server = fleet_->shape.slots;
+  options.cold_start_slots = fleet_->shape.cold_slots;
+  if (options_.unbounded) options.max_waiting = 1 << 30;
+  return std::make_shared<OwnerProcess>(loop_, options, Described(group));
+}
+
+std::vector<GroupServer> OwnerPolicy::Described(const Group& group) const {
+  std::vector<GroupServer> described;
+  for (const FakeServer* server : group.servers) {
+    described.push_back(server->Described(zone_in_service_[server->zone()]));
+  }
+  return described;
+}
+
+std::vector<HostIncarnation> OwnerPolicy::HostsOfZone(int zone) const {
+  std::vector<HostIncarnation> hosts;
+  for (int host = 0; host < fleet_->shape.hosts; ++host) {
+    if (fleet_->ZoneOfHost(host) != zone) continue;
+    hosts.push_back(
+        {HostName(std::to_string(host)), static_cast<std::uint64_t>(host)});
+  }
+  return hosts;
+}
+
+int OwnerPolicy::OwnerHost(const Group& group,
+                           const std::vector<HostIncarnation>& hosts) const {
+  return static_cast<int>(GroupOwner(group.id, hosts, {})->nonce);
+}
+
+void OwnerPolicy::SetZoneInService(int zone, bool in_service) {
+  zone_in_service_[zone] = in_service;
+  for (Group& group : groups_) {
+    if (group.zone != zone) continue;
+    for (const auto& owner : group.owners) owner->SetServers(Described(group));
+  }
+}
+
+void OwnerPolicy::MoveFirstGroup(Duration spread) {
+  Group& group = groups_.front();
+  std::vector<HostIncarnation> hosts = HostsOfZone(group.zone);
+  hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
+                             [&group](const HostIncarnation& host) {
+                               return static_cast<int>(host.nonce) ==
+                                      group.owner_hosts.back();
+                             }),
+              hosts.end());
+  group.owners.push_back(MakeOwner(group));
+  group.owner_hosts.push_back(OwnerHost(group, hosts));
+  const std::size_t newest = group.owners.size() - 1;
+  for (int host = 0; host < fleet_->shape.hosts; ++host) {
+    const Duration delay = spread * host / fleet_->shape.hosts;
+    loop_->After(delay, [this, host, newest] {
+      groups_.front().owner_seen[host] = newest;
+    });
+  }
+}
+
+std::vector<std::size_t> OwnerPolicy::Rank(int host) {
+  std::vector<GroupCandidate> candidates;
+  const int zone = fleet_->ZoneOfHost(host);
+  std::vector<std::size_t> order(groups_.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::shuffle(order.begin(), order.end(), random_);
+  for (const std::size_t i : order) {
+    GroupCandidate candidate;
+    candidate.group = groups_[i].id;
+    candidate.distance =
+        groups_[i].zone == zone ? Distance::kSameZone : Distance::kSameRegion;
+    const Knowledge& knowledge = known_[host][i];
+    if (knowledge.known &&
+        options_.choice != OwnerPolicyOptions::Choice::kLocalFirst) {
+      candidate.load = knowledge.load;
+      candidate.load->granted += knowledge.asked_since;
+      candidate.load_age = loop_->Now() - knowledge.at;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  const bool queue_cost =
+      options_.choice == OwnerPolicyOptions::Choice::kQueueCostOnly;
+  std::vector<std::size_t> ranking =
+      queue_cost ? RankByQueueCost(candidates) : RankGroups(candidates);
+  for (std::size_t& index : ranking) index = order[index];
+  return ranking;
+}
+
+void OwnerPolicy::Start(const Work& work, const Done& done) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->work = work;
+  attempt->done = done;
+  attempt->ranking = Rank(work.host);
+  AskNext(attempt);
+}
+
+void OwnerPolicy::AskNext(const AttemptPointer& attempt) {
+  if (attempt->next >= attempt->ranking.size()) {
+    attempt->done(WorkEnd::kRefused);
+    return;
+  }
+  const std::size_t index = attempt->ranking[attempt->next++];
+  const Group& group = groups_[index];
+  ++known_[attempt->work.host][index].asked_since;
+  const std::size_t seen = group.owner_seen[attempt->work.host];
+  const Duration hop =
+      Fleet::Hop(fleet_->ZoneOfHost(attempt->work.host), group.zone);
+  SlotRequest request;
+  request.organisation = OrganisationName("organisation");
+  request.deadline = attempt->work.deadline;
+  if (options_.unbounded) request.deadline += std::chrono::hours(1);
+  request.excluded = attempt->excluded;
+  loop_->After(hop, [=] {
+    groups_[index].owners[seen]->Acquire(
+        request, [=](const SlotDecision& decision) {
+          const GroupLoad load = groups_[index].owners[seen]->Load();
+          loop_->After(hop, [=] {
+            known_[attempt->work.host][index] = {load, loop_->Now(), true, 0};
+            OnDecision(attempt, index, seen, decision);
+          });
+        });
+  });
+}
+
+void OwnerPolicy::OnDecision(const AttemptPointer& attempt, std::size_t group,
+                             std::size_t owner, const SlotDecision& decision) {
+  if (const auto* granted = std::get_if<SlotGranted>(&decision)) {
+    CallServer(attempt, group, owner, granted->grant);
+  } else {
+    AskNext(attempt);
+  }
+}
+
+void OwnerPolicy::CallServer(const AttemptPointer& attempt, std::size_t group,
+                             std::size_t owner, const Grant& grant) {
+  FakeServer* server = nullptr;
+  for (FakeServer* candidate : groups_[group].servers) {
+    if (candidate->name() == grant.server) server = candidate;
+  }
+  const int zone = fleet_->ZoneOfHost(attempt->work.host);
+  const Duration hop = Fleet::Hop(zone, server->zone());
+  const auto on_answer = [=](const CallReport& report) {
+    loop_->After(hop, [=] {
+      loop_->After(hop, [=] {
+        groups_[group].owners[owner]->Release(grant.id, report);
+      });
+      OnReport(attempt, grant, report);
+    });
+  };
+  loop_->After(hop,
+               [=] { server->Call(attempt->work.service_time, on_answer); });
+}
+
+void OwnerPolicy::OnReport(const AttemptPointer& attempt, const Grant& grant,
+                           const CallReport& report) {
+  if (report.end != CallEnd::kShed) {
+    attempt->done(EndOf(report));
+    return;
+  }
+  attempt->excluded.push_back(grant.server);
+  if (++attempt->sheds > kMostShedRetries) {
+    attempt->done(WorkEnd::kRefused);
+    return;
+  }
+  attempt->ranking = Rank(attempt->work.host);
+  attempt->next = 0;
+  AskNext(attempt);
+}
+
+void OwnerPolicy::SendHeartbeats() {
+  for (std::size_t index = 0; index < groups_.size(); ++index) {
+    const GroupLoad load = groups_[index].owners.back()->Load();
+    for (int host = 0; host < fleet_->shape.hosts; ++host) {
+      const Duration hop =
+          Fleet::Hop(fleet_->ZoneOfHost(host), groups_[index].zone);
+      loop_->After(hop, [=] {
+        known_[host][index] = {load, loop_->Now(), true, 0};
+      });
+    }
+  }
+  loop_->After(kHeartbeatInterval, [this] { SendHeartbeats(); });
+}
+
+}  // namespace heatherlatch::experiment
--- a/heatherlatch/placement/group_choice.cc
+++ b/heatherlatch/placement/group_choice.cc
@@ -42,10 +42,21 @@
   return service_time * (load.waiting + 1) / load.usable_slots;
 }
 
+// A call to another zone occupies its slot for the whole way, so a group of
+// another zone must be better by more than the way: its wait counts twice.
+constexpr int kFarWaitFactor = 2;
+
+// A group of another zone with a longer wait is left to its own zone.
+constexpr Duration kMostFarWait = std::chrono::milliseconds(40);
+
+Duration WaitOf(const GroupCandidate& candidate) {
+  return candidate.load ? ExpectedWait(*candidate.load) : Duration::zero();
+}
+
 Duration Cost(const GroupCandidate& candidate) {
-  const Duration wait =
-      candidate.load ? ExpectedWait(*candidate.load) : Duration::zero();
-  return WayTo(candidate.distance) + wait;
+  const int factor =
+      candidate.distance == Distance::kSameZone ? 1 : kFarWaitFactor;
+  return WayTo(candidate.distance) + WaitOf(candidate) * factor;
 }
 
 bool MayUse(const GroupCandidate& candidate) {
@@ -54,6 +65,22 @@
          candidate.bytes_allowed;
 }
 
+bool HasUsableSlots(const GroupCandidate& candidate) {
+  return !candidate.load || candidate.load->usable_slots > 0;
+}
+
+// Whether a group is so busy that a request from a nearer group would only take
+// slot time from both.
+bool IsTooBusyFor(const GroupCandidate& candidate,
+                  const std::vector<GroupCandidate>& candidates) {
+  if (WaitOf(candidate) <= kMostFarWait) return false;
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&candidate](const GroupCandidate& other) {
+                       return other.distance < candidate.distance &&
+                              MayUse(other) && HasUsableSlots(other);
+                     });
+}
+
 }  // namespace
 
 std::vector<std::size_t> RankGroups(
@@ -63,8 +90,10 @@
   order.reserve(candidates.size());
   costs.reserve(candidates.size());
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    costs.push_back(Cost(candidates[i]));
-    if (MayUse(candidates[i])) order.push_back(i);
+    const GroupCandidate& candidate = candidates[i];
+    costs.push_back(Cost(candidate));
+    if (!MayUse(candidate) || IsTooBusyFor(candidate, candidates)) continue;
+    order.push_back(i);
   }
   std::stable_sort(
       order.begin(), order.end(),
--- a/heatherlatch/placement/group_choice.h
+++ b/heatherlatch/placement/group_choice.h
@@ -1,11 +1,14 @@
 // Chooses which group of a service to ask for a slot.
 //
 // A service has one group in each zone that holds some of its servers. The cost
-// of a group is the delay of the way to its zone plus the expected wait in its
-// queue, (waiting + 1) / rate, from the load that its owner last reported. The
-// nearest group wins until it is fuller by more than the way costs. Source of
+// of a group is the delay of the way to its zone plus the expected wait for a
+// slot: none while a slot is free, else (waiting + 1) / rate, from the load
+// that its owner last reported. In another zone the wait counts twice, because
+// a slot is occupied for the whole way of a call; and a group of another zone
+// with a long wait is left out while a nearer group has usable slots. Source of
 // the cost form: the cost of link delay plus queue length over service rate in
-// the paper on packet-in request redirection (docs/design/placement.md).
+// the paper on packet-in request redirection, changed after measurement
+// (docs/design/placement.md).
 //
 // Thread safety: pure functions.
 #ifndef HEATHERLATCH_PLACEMENT_GROUP_CHOICE_H_
--- a/heatherlatch/placement/group_scheduler.cc
+++ b/heatherlatch/placement/group_scheduler.cc
@@ -353,7 +353,7 @@
                                        TimePoint granted_at, TimePoint now) {
   server->OnReport(report, trial, granted_at, pool_.usual(), now);
   LearnUsual(*server, report, granted_at, now);
-  if (server->ProvenSlow() && pool_.MayLeaveSlowServer()) {
+  if (server->ProvenSlow(now) && pool_.MayLeaveSlowServer()) {
     server->LeaveAsSlow(now);
   }
   pool_.Update(server);
--- a/heatherlatch/placement/group_scheduler_test.cc
+++ b/heatherlatch/placement/group_scheduler_test.cc
@@ -101,5 +101,179 @@
   CHECK(f.Fill().size() == 12);
 }
 
+CallReport Ended(CallEnd end) {
+  CallReport report;
+  report.end = end;
+  return report;
+}
+
+TEST_CASE("a restart turns a server cold, once for all that it cut off",
+          "[promise-02]") {
+  Fixture f(1, 4);
+  f.Warm(8);
+  const BackendServerName name = Servers(1)[0].name;
+  const std::vector<Grant> grants = f.Fill();
+  REQUIRE(grants.size() == 4);
+  CallReport first = Answered(milliseconds(8));
+  first.boot_id = 1;
+  f.scheduler.Release(grants[0].id, first, f.now);
+  CHECK(f.LimitOf(name) == 4);
+  f.now += milliseconds(1);
+  CallReport restarted = first;
+  restarted.boot_id = 2;
+  f.scheduler.Release(grants[1].id, restarted, f.now);
+  CHECK(f.LimitOf(name) == 1);
+  CHECK(f.Fill().empty());
+  // A late answer of the former process changes nothing.
+  f.now += milliseconds(1);
+  f.scheduler.Release(grants[2].id, first, f.now);
+  f.scheduler.Release(grants[3].id, Ended(CallEnd::kFailed), f.now);
+  f.Warm(1);
+  CHECK(f.LimitOf(name) == 2);
+}
+
+TEST_CASE("the cold sign keeps a server at its cold limit", "[promise-02]") {
+  Fixture f(1, 4);
+  f.Warm(8);
+  const BackendServerName name = Servers(1)[0].name;
+  f.scheduler.ReportServer(name, true, true, 1, f.now);
+  CHECK(f.LimitOf(name) == 1);
+  f.Warm(5);
+  CHECK(f.LimitOf(name) == 1);
+  f.scheduler.ReportServer(name, true, false, 1, f.now);
+  f.Warm(1);
+  CHECK(f.LimitOf(name) == 2);
+}
+
+TEST_CASE("a server that sheds goes back to its cold limit and grows slower",
+          "[promise-02]") {
+  Fixture f(1, 3);
+  f.Warm(3);
+  const BackendServerName name = Servers(1)[0].name;
+  const std::vector<Grant> grants = f.Fill();
+  f.now += milliseconds(1);
+  for (const Grant& grant : grants) {
+    f.scheduler.Release(grant.id, Ended(CallEnd::kShed), f.now);
+  }
+  CHECK(f.LimitOf(name) == 1);
+  f.Warm(1);
+  CHECK(f.LimitOf(name) == 1);
+  f.Warm(1);
+  CHECK(f.LimitOf(name) == 2);
+}
+
+TEST_CASE("after failed connections one trial decides, at growing delays") {
+  Fixture f(2, 3, 3);
+  const BackendServerName name = Servers(2)[0].name;
+  const auto connect_failed = [&f, &name](const std::vector<Grant>& grants) {
+    for (const Grant& grant : grants) {
+      const bool affected = grant.server == name;
+      f.scheduler.Release(
+          grant.id,
+          affected ? Ended(CallEnd::kConnectFailed) : Answered(milliseconds(8)),
+          f.now);
+    }
+  };
+  connect_failed(f.Fill());
+  Duration delay = milliseconds(20);
+  for (int failure = 0; failure < 4; ++failure) {
+    CHECK(f.LimitOf(name) == 0);
+    f.now += delay - milliseconds(1);
+    f.scheduler.Advance(f.now);
+    CHECK(f.LimitOf(name) == 0);
+    f.now += milliseconds(1);
+    f.scheduler.Advance(f.now);
+    CHECK(f.LimitOf(name) == 1);
+    const std::vector<Grant> grants = f.Fill();
+    CHECK(grants.size() == 4);
+    connect_failed(grants);
+    delay *= 2;
+  }
+  f.now += delay;
+  f.scheduler.Advance(f.now);
+  f.Warm(1);
+  CHECK(f.LimitOf(name) == 3);
+}
+
+TEST_CASE("a draining server gets nothing until it says otherwise",
+          "[promise-08]") {
+  Fixture f(2);
+  const BackendServerName name = Servers(2)[0].name;
+  for (const Grant& grant : f.Fill()) {
+    const bool drains = grant.server == name;
+    f.scheduler.Release(
+        grant.id, drains ? Ended(CallEnd::kDraining) : CallReport{}, f.now);
+  }
+  for (int i = 0; i < 100; ++i) {
+    f.now += seconds(1);
+    f.scheduler.Advance(f.now);
+    CHECK(f.LimitOf(name) == 0);
+  }
+  f.scheduler.ReportServer(name, true, false, std::nullopt, f.now);
+  f.scheduler.Advance(f.now);
+  CHECK(f.LimitOf(name) == 1);
+}
+
+TEST_CASE("a request that cannot meet its deadline is refused at once") {
+  Fixture f(1, 1);
+  f.Warm(40);  // One slot, 8 ms each.
+  const std::vector<Grant> grants = f.Fill();
+  const auto acquire = [&f](Duration time_left) {
+    return f.scheduler.Acquire(Request(f.next_waiter++, f.now + time_left),
+                               f.now);
+  };
+  CHECK(std::holds_alternative<SlotQueued>(acquire(milliseconds(17))));
+  CHECK(std::holds_alternative<SlotQueued>(acquire(milliseconds(25))));
+  const AcquireResult late = acquire(milliseconds(25));
+  REQUIRE(std::holds_alternative<SlotRefused>(late));
+  CHECK(std::get<SlotRefused>(late).reason == NotRunReason::kDeadlineTooShort);
+}
+
+TEST_CASE("short deadlines are served again after a slow time") {
+  Fixture f(1, 1);
+  f.Warm(40);
+  for (int i = 0; i < 100; ++i) {
+    const std::vector<Grant> grants = f.Fill();
+    f.now += seconds(1);
+    f.scheduler.Release(grants.at(0).id, Answered(seconds(1)), f.now);
+  }
+  CHECK(f.scheduler.Load().mean_service_time > milliseconds(500));
+  CHECK(std::holds_alternative<SlotGranted>(f.scheduler.Acquire(
+      Request(f.next_waiter++, f.now + milliseconds(50)), f.now)));
+}
+
+TEST_CASE("a server that hangs is left before it answers, and taken back") {
+  Fixture f(6, 3, 3);
+  f.Warm(10);
+  const BackendServerName name = Servers(6)[0].name;
+  std::vector<Grant> hanging;
+  // Requests of 8 ms for half of the slots; one server does not answer.
+  const auto run_steps = [&](int steps, bool hangs) {
+    int given = 0;
+    for (int step = 0; step < steps; ++step) {
+      std::vector<Grant> prompt;
+      for (int i = 0; i < 9; ++i) {
+        const AcquireResult result = f.Acquire();
+        const Grant& grant = std::get<SlotGranted>(result).grant;
+        const bool affected = grant.server == name;
+        given += affected ? 1 : 0;
+        (affected && hangs ? hanging : prompt).push_back(grant);
+      }
+      f.now += milliseconds(8);
+      for (const Grant& grant : prompt) {
+        f.scheduler.Release(grant.id, Answered(milliseconds(8)), f.now);
+      }
+      f.scheduler.Advance(f.now);
+    }
+    return given;
+  };
+  CHECK(run_steps(1, true) > 0);
+  CHECK(run_steps(9, true) <= 3);
+  for (const Grant& grant : hanging) {
+    f.scheduler.Release(grant.id, Answered(milliseconds(80)), f.now);
+  }
+  CHECK(run_steps(300, false) > 20);
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/placement/internal/server_pool.cc
+++ b/heatherlatch/placement/internal/server_pool.cc
@@ -9,6 +9,9 @@
 // A group leaves at most one of this many servers because they are slow.
 constexpr int kServersForEachSlowOne = 3;
 
+// Free servers that are compared when the first ones seem slow.
+constexpr int kMostCandidates = 8;
+
 bool Contains(const ExcludedServers& excluded, const BackendServerName& name) {
   return std::find(excluded.begin(), excluded.end(), name) != excluded.end();
 }
@@ -105,24 +108,36 @@
   return trials_.begin()->first;
 }
 
+ServerPool::Candidate ServerPool::LeastSuspicious(
+    const ExcludedServers& excluded, TimePoint now) const {
+  Candidate best;
+  int looked_at = 0;
+  for (const FreeKey& key : free_) {
+    if (Contains(excluded, key.record->name())) continue;
+    const double score = key.record->SlowScore(usual_, now);
+    if (best.record == nullptr || score < best.slow_score) {
+      best = {key.record, score};
+    }
+    if (score < kAvoidScore || ++looked_at == kMostCandidates) break;
+  }
+  return best;
+}
+
 ServerRecord* ServerPool::PickFree(const ExcludedServers& excluded,
                                    TimePoint now) {
-  auto next = free_.begin();
-  while (next != free_.end()) {
-    ServerRecord* record = next->record;
-    ++next;
-    if (Contains(excluded, record->name())) continue;
-    if (!MayLeaveSlowServer() || record->SlowScore(usual_, now) < kHoldScore) {
-      return record;
+  while (true) {
+    const Candidate best = LeastSuspicious(excluded, now);
+    if (best.record == nullptr || best.slow_score < kHoldScore ||
+        !MayLeaveSlowServer()) {
+      return best.record;
     }
-    if (record->granted() == 0) {
-      record->LeaveAsSlow(now);
+    if (best.record->granted() == 0) {
+      best.record->LeaveAsSlow(now);
     } else {
-      record->Hold();
+      best.record->Hold();
     }
-    Update(record);
+    Update(best.record);
   }
-  return nullptr;
 }
 
 ServerRecord* ServerPool::PickForIsolation(const ExcludedServers& excluded) {
--- a/heatherlatch/placement/internal/server_pool.h
+++ b/heatherlatch/placement/internal/server_pool.h
@@ -45,7 +45,8 @@
   std::optional<TimePoint> NextTrial() const;
 
   // Picks the server with the fewest grants that has a free slot, the one
-  // unused for longest among equals.
+  // unused for longest among equals. A server that seems slow is taken only
+  // where no other is free.
   // @return the server, or null
   ServerRecord* PickFree(const ExcludedServers& excluded, TimePoint now);
 
@@ -98,6 +99,13 @@
     Contribution contribution;
   };
 
+  struct Candidate {
+    ServerRecord* record = nullptr;
+    double slow_score = 0;
+  };
+
+  Candidate LeastSuspicious(const ExcludedServers& excluded,
+                            TimePoint now) const;
   Contribution ContributionOf(ServerRecord* record);
   void Remove(const Contribution& contribution, ServerRecord* record);
   void Add(const Contribution& contribution, ServerRecord* record);
--- a/heatherlatch/placement/internal/server_record.cc
+++ b/heatherlatch/placement/internal/server_record.cc
@@ -73,17 +73,17 @@
 }
 
 double ServerRecord::SlowScore(const UsualTimes& usual, TimePoint now) const {
-  double score = slowness_.value();
+  double score = slowness_.At(now);
   for (const Running& running : running_) {
     score += usual.EvidenceOfAge(now - running.granted_at);
   }
   return score;
 }
 
-bool ServerRecord::ProvenSlow() const {
+bool ServerRecord::ProvenSlow(TimePoint now) const {
   if (!back_off_.working()) return false;
   const double needed = running_.empty() ? kHoldScore : kLeaveScore;
-  return slowness_.value() >= needed;
+  return slowness_.At(now) >= needed;
 }
 
 void ServerRecord::LeaveAsSlow(TimePoint now) {
@@ -199,7 +199,7 @@
       OnAnswer(report, granted_at, usual, now);
       return;
     case CallEnd::kTimedOut:
-      slowness_.Add(usual.EvidenceOfAnswer(Duration::max()));
+      slowness_.Add(usual.EvidenceOfAnswer(Duration::max()), now);
       return;
     case CallEnd::kShed:
       OnShed(now);
@@ -215,7 +215,7 @@
 
 void ServerRecord::OnAnswer(const CallReport& report, TimePoint granted_at,
                             const UsualTimes& usual, TimePoint now) {
-  slowness_.Add(usual.EvidenceOfAnswer(report.service_time));
+  slowness_.Add(usual.EvidenceOfAnswer(report.service_time), now);
   // A server that runs more than was granted here serves another owner too.
   const bool serves_others = report.reported_in_flight > granted() + 1;
   if (serves_others || !usual.IsPrompt(report.service_time)) return;
--- a/heatherlatch/placement/internal/server_record.h
+++ b/heatherlatch/placement/internal/server_record.h
@@ -59,7 +59,7 @@
   // @return the evidence that the server is slow, with unfinished requests
   double SlowScore(const UsualTimes& usual, TimePoint now) const;
   // @return whether finished requests alone prove that the server is slow
-  bool ProvenSlow() const;
+  bool ProvenSlow(TimePoint now) const;
   void LeaveAsSlow(TimePoint now);
 
   // Takes the report on a grant as evidence.
--- a/heatherlatch/placement/internal/slowness.cc
+++ b/heatherlatch/placement/internal/slowness.cc
@@ -25,6 +25,8 @@
 // Times above this many base times are all alike.
 constexpr double kMostBaseTimes = 100;
 
+constexpr Duration kEvidenceHalfLife = std::chrono::milliseconds(500);
+
 // Answers within this many mean times count as prompt.
 constexpr int kPromptFactor = 4;
 
@@ -82,8 +84,15 @@
          service_time <= service_time_.Value() * kPromptFactor;
 }
 
-void SlownessScore::Add(double evidence) {
-  score_ = std::max(0.0, score_ + evidence);
+double SlownessScore::At(TimePoint now) const {
+  if (score_ <= 0) return 0;
+  return score_ * std::exp2(-ToMilliseconds(now - updated_at_) /
+                            ToMilliseconds(kEvidenceHalfLife));
+}
+
+void SlownessScore::Add(double evidence, TimePoint now) {
+  score_ = std::max(0.0, At(now) + evidence);
+  updated_at_ = now;
 }
 
 }  // namespace heatherlatch
--- a/heatherlatch/placement/internal/slowness.h
+++ b/heatherlatch/placement/internal/slowness.h
@@ -55,22 +55,29 @@
   MovingMean held_;
 };
 
+// Old evidence fades, so a server that is avoided is tried again.
 class SlownessScore {
  public:
-  void Add(double evidence);
+  void Add(double evidence, TimePoint now);
   void Reset() { score_ = 0; }
-  double value() const { return score_; }
+  double At(TimePoint now) const;
 
  private:
   double score_ = 0;
+  TimePoint updated_at_;
 };
 
+// Score of finished and unfinished requests at which a server gets new work
+// only if no other one is free.
+inline constexpr double kAvoidScore = 2;
+
 // Score of finished and unfinished requests at which a server gets no new work
-// until one of them has ended.
-inline constexpr double kHoldScore = 6.0;
+// until one of them has ended. One long request counts 3.9 at most, and three
+// long requests at once are usual at full load.
+inline constexpr double kHoldScore = 11;
 
 // Score of finished requests alone at which a server is left for a back-off.
-inline constexpr double kLeaveScore = 9.0;
+inline constexpr double kLeaveScore = 14;
 
 }  // namespace heatherlatch
 
