Split the experiment's policies and the scheduler's grant book into files of their own

Cause: group_scheduler.cc and policies.cc held several jobs each. Change: GrantBook keeps grants, leases and late reports; one file for each policy.

--- /dev/null
+++ b/benchmarks/experiment/central_policy.h
@@ -0,0 +1,42 @@
+// The baseline that no real system can reach.
+//
+// Thread safety: none.
+#ifndef HEATHERLATCH_BENCHMARKS_EXPERIMENT_CENTRAL_POLICY_H_
+#define HEATHERLATCH_BENCHMARKS_EXPERIMENT_CENTRAL_POLICY_H_
+
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "benchmarks/experiment/event_loop.h"
+#include "benchmarks/experiment/fleet.h"
+#include "benchmarks/experiment/work.h"
+
+namespace heatherlatch::experiment {
+
+// One queue that knows every server without delay; no real system can be it.
+class CentralPolicy {
+ public:
+  CentralPolicy(EventLoop* loop, Fleet* fleet);
+
+  void Start(const Work& work, const Done& done);
+  void SetZoneInService(int zone, bool in_service);
+
+ private:
+  struct Waiting {
+    Work work;
+    Done done;
+  };
+  void Dispatch();
+  FakeServer* PickFree();
+
+  EventLoop* loop_;
+  Fleet* fleet_;
+  std::map<FakeServer*, int> granted_;
+  std::deque<Waiting> waiting_;
+  std::vector<bool> zone_in_service_;
+};
+
+}  // namespace heatherlatch::experiment
+
+#endif  // HEATHERLATCH_BENCHMARKS_EXPERIMENT_CENTRAL_POLICY_H_
--- /dev/null
+++ b/benchmarks/experiment/direct_policy.h
@@ -0,0 +1,44 @@
+// Baselines without an owner: each host places its requests itself.
+//
+// Thread safety: none.
+#ifndef HEATHERLATCH_BENCHMARKS_EXPERIMENT_DIRECT_POLICY_H_
+#define HEATHERLATCH_BENCHMARKS_EXPERIMENT_DIRECT_POLICY_H_
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "benchmarks/experiment/event_loop.h"
+#include "benchmarks/experiment/fleet.h"
+#include "benchmarks/experiment/work.h"
+
+namespace heatherlatch::experiment {
+
+// Every host calls servers as it thinks best and tries again where one sheds.
+class DirectPolicy {
+ public:
+  enum class Choice { kRandom, kTwoChoicesOnReports, kLeastOwnOutstanding };
+
+  DirectPolicy(EventLoop* loop, Fleet* fleet, Choice choice,
+               std::uint64_t seed);
+
+  void Start(const Work& work, const Done& done);
+  void SetZoneInService(int zone, bool in_service);
+
+ private:
+  void Try(const Work& work, const Done& done, int attempt);
+  std::size_t Pick(int host);
+  void TakeReports();
+
+  EventLoop* loop_;
+  Fleet* fleet_;
+  Choice choice_;
+  std::mt19937_64 random_;
+  std::vector<int> reported_;                  // In flight, by server.
+  std::vector<std::vector<int>> outstanding_;  // By host and server.
+  std::vector<bool> zone_in_service_;
+};
+
+}  // namespace heatherlatch::experiment
+
+#endif  // HEATHERLATCH_BENCHMARKS_EXPERIMENT_DIRECT_POLICY_H_
--- /dev/null
+++ b/benchmarks/experiment/owner_policy.h
@@ -0,0 +1,101 @@
+// Owners grant slots: the product's GroupScheduler, GroupOwner and RankGroups
+// among several receivers and zones.
+//
+// Thread safety: none.
+#ifndef HEATHERLATCH_BENCHMARKS_EXPERIMENT_OWNER_POLICY_H_
+#define HEATHERLATCH_BENCHMARKS_EXPERIMENT_OWNER_POLICY_H_
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "benchmarks/experiment/event_loop.h"
+#include "benchmarks/experiment/fleet.h"
+#include "benchmarks/experiment/owner_process.h"
+#include "benchmarks/experiment/work.h"
+#include "heatherlatch/base/host_incarnation.h"
+#include "heatherlatch/placement/group_choice.h"
+#include "heatherlatch/placement/group_scheduler.h"
+
+namespace heatherlatch::experiment {
+
+struct OwnerPolicyOptions {
+  enum class Grouping { kServiceAndZone, kServer };
+  enum class Choice { kRankGroups, kLocalFirst, kQueueCostOnly };
+  Grouping grouping = Grouping::kServiceAndZone;
+  Choice choice = Choice::kRankGroups;
+  // No bound on the queue and no refusal by deadline.
+  bool unbounded = false;
+};
+
+// A host owns each group and grants its slots; the host that holds the request
+// calls the server itself.
+class OwnerPolicy {
+ public:
+  OwnerPolicy(EventLoop* loop, Fleet* fleet, const OwnerPolicyOptions& options);
+
+  void Start(const Work& work, const Done& done);
+  void SetZoneInService(int zone, bool in_service);
+
+  // Moves the first group to its next owner. Hosts learn of it one by one
+  // within `spread`; until then they use the former owner, which goes on
+  // granting.
+  void MoveFirstGroup(Duration spread);
+
+ private:
+  struct Group {
+    GroupId id;
+    int zone = 0;
+    std::vector<FakeServer*> servers;
+    std::vector<std::shared_ptr<OwnerProcess>> owners;  // Newest last.
+    std::vector<int> owner_hosts;                       // Beside `owners`.
+    std::vector<std::size_t> owner_seen;                // By host.
+  };
+  struct Knowledge {
+    GroupLoad load;
+    TimePoint at;
+    bool known = false;
+    int asked_since = 0;  // Slots asked for since the load was reported.
+  };
+  // One request on its way.
+  struct Attempt {
+    Work work;
+    Done done;
+    std::vector<std::size_t> ranking;
+    std::size_t next = 0;
+    int sheds = 0;
+    std::vector<BackendServerName> excluded;
+  };
+  using AttemptPointer = std::shared_ptr<Attempt>;
+
+  void MakeGroups();
+  std::shared_ptr<OwnerProcess> MakeOwner(const Group& group);
+  std::vector<GroupServer> Described(const Group& group) const;
+  std::vector<HostIncarnation> HostsOfZone(int zone) const;
+  int OwnerHost(const Group& group,
+                const std::vector<HostIncarnation>& hosts) const;
+  std::vector<std::size_t> Rank(int host);
+  std::vector<std::size_t> RankAs(
+      const std::vector<GroupCandidate>& candidates) const;
+  void AskNext(const AttemptPointer& attempt);
+  void OnDecision(const AttemptPointer& attempt, std::size_t group,
+                  std::size_t owner, const SlotDecision& decision);
+  void CallServer(const AttemptPointer& attempt, std::size_t group,
+                  std::size_t owner, const Grant& grant);
+  void OnReport(const AttemptPointer& attempt, const Grant& grant,
+                const CallReport& report);
+  void SendHeartbeats();
+
+  EventLoop* loop_;
+  Fleet* fleet_;
+  OwnerPolicyOptions options_;
+  std::vector<Group> groups_;
+  std::vector<std::vector<Knowledge>> known_;  // By host and group.
+  std::mt19937_64 random_;
+  std::vector<bool> zone_in_service_;
+};
+
+}  // namespace heatherlatch::experiment
+
+#endif  // HEATHERLATCH_BENCHMARKS_EXPERIMENT_OWNER_POLICY_H_
--- /dev/null
+++ b/benchmarks/experiment/owner_process.h
@@ -0,0 +1,42 @@
+// An owner of a server group, in virtual time.
+//
+// Thread safety: none.
+#ifndef HEATHERLATCH_BENCHMARKS_EXPERIMENT_OWNER_PROCESS_H_
+#define HEATHERLATCH_BENCHMARKS_EXPERIMENT_OWNER_PROCESS_H_
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "benchmarks/experiment/event_loop.h"
+#include "heatherlatch/placement/group_scheduler.h"
+
+namespace heatherlatch::experiment {
+
+// Runs a GroupScheduler in virtual time, as an owner process would.
+class OwnerProcess {
+ public:
+  using Decide = std::function<void(const SlotDecision&)>;
+
+  OwnerProcess(EventLoop* loop, const GroupOptions& options,
+               const std::vector<GroupServer>& servers);
+
+  void SetServers(const std::vector<GroupServer>& servers);
+  void Acquire(SlotRequest request, const Decide& decide);
+  void Release(GrantId grant, const CallReport& report);
+  GroupLoad Load() const { return scheduler_.Load(); }
+
+ private:
+  void Deliver(const std::vector<SlotDecision>& decisions);
+  void SetTimer();
+
+  EventLoop* loop_;
+  GroupScheduler scheduler_;
+  WaiterId next_waiter_ = 1;
+  std::map<WaiterId, Decide> waiting_;
+  TimePoint timer_ = TimePoint::max();
+};
+
+}  // namespace heatherlatch::experiment
+
+#endif  // HEATHERLATCH_BENCHMARKS_EXPERIMENT_OWNER_PROCESS_H_
--- a/benchmarks/experiment/scenario.h
+++ b/benchmarks/experiment/scenario.h
@@ -63,7 +63,8 @@
   std::uint64_t affected_calls = 0;
   double left_after = 0;
   std::uint64_t affected_overruns = 0;
-  // Time after the event until the p99 of 100 ms stays below twice the former.
+  // Milliseconds after the event until the 90th percentile of 100 ms stays
+  // below twice the former; -1 if it never does.
   double recovery = 0;
   // Share of requests answered in the last second.
   double final_goodput = 0;
--- a/heatherlatch/placement/group_scheduler.cc
+++ b/heatherlatch/placement/group_scheduler.cc
@@ -1,10 +1,9 @@
 #include "heatherlatch/placement/group_scheduler.h"
 
 #include <algorithm>
-#include <set>
-#include <unordered_map>
 #include <utility>
 
+#include "heatherlatch/placement/internal/grant_book.h"
 #include "heatherlatch/placement/internal/server_pool.h"
 #include "heatherlatch/placement/internal/server_record.h"
 #include "heatherlatch/placement/internal/waiting_line.h"
@@ -15,9 +14,6 @@
 // Isolated requests occupy at most one of this many servers at a time.
 constexpr int kServersForEachIsolatedOne = 4;
 
-// How long a late report on a grant that ended by its lease still counts.
-constexpr Duration kLateReportMemory = std::chrono::seconds(30);
-
 using Decisions = std::vector<SlotDecision>;
 
 GroupOptions Checked(GroupOptions options) {
@@ -66,19 +62,6 @@
   }
 
  private:
-  struct RunningGrant {
-    ServerRecord* server;
-    TimePoint granted_at;
-    TimePoint lease_end;
-    bool isolated;
-  };
-  // A grant that ended by its lease.
-  struct LostGrant {
-    BackendServerName server;
-    TimePoint granted_at;
-    TimePoint forget_at;
-  };
-
   // @return the decisions made since the last call that could return any
   Decisions TakeDecisions() { return std::exchange(undelivered_, {}); }
 
@@ -106,21 +89,14 @@
                   TimePoint granted_at, TimePoint now);
   void LearnUsual(const ServerRecord& server, const CallReport& report,
                   TimePoint granted_at, TimePoint now);
-  ServerRecord* EndGrant(GrantId id);
   void EndLeases(TimePoint now);
-  void ForgetLostGrants(TimePoint now);
 
   GroupOptions options_;
   ServerPool pool_;
   WaitingLine line_;
-  std::unordered_map<GrantId, RunningGrant> grants_;
-  std::set<std::pair<TimePoint, GrantId>> leases_;
-  std::unordered_map<GrantId, LostGrant> lost_grants_;
-  std::set<std::pair<TimePoint, GrantId>> lost_until_;
-  GrantId next_grant_ = 1;
+  GrantBook grants_;
   // Server that is kept free for the first isolated request.
   std::optional<BackendServerName> reserved_;
-  int running_isolated_ = 0;
   Decisions undelivered_;
   bool dispatch_due_ = false;  // `Cancel` has freed a server.
   TimePoint now_;              // Latest time seen.
@@ -201,13 +177,11 @@
 
 Grant GroupScheduler::State::MakeGrant(const SlotRequest& request,
                                        ServerRecord* server, TimePoint now) {
-  const GrantId id = next_grant_++;
   const TimePoint lease_end = LeaseEnd(request.deadline, options_.lease_grace);
-  grants_.emplace(id, RunningGrant{server, now, lease_end, request.isolated});
-  leases_.emplace(lease_end, id);
+  const GrantId id =
+      grants_.Add(RunningGrant{server, now, lease_end, request.isolated});
   server->Begin(id, request.isolated, now);
   pool_.Update(server);
-  running_isolated_ += request.isolated ? 1 : 0;
   return Grant{id, server->name(), server->endpoint(), lease_end};
 }
 
@@ -294,7 +268,7 @@
 
 bool GroupScheduler::State::MayRunIsolated() const {
   const int most = std::max(1, pool_.accepting() / kServersForEachIsolatedOne);
-  return running_isolated_ < most;
+  return grants_.running_isolated() < most;
 }
 
 void GroupScheduler::State::Reserve(ServerRecord* server) {
@@ -328,18 +302,6 @@
 // ---------------------------------------------------------------------------
 // Grants
 
-// Takes a grant out of the books.
-// @return its server
-ServerRecord* GroupScheduler::State::EndGrant(GrantId id) {
-  const auto found = grants_.find(id);
-  ServerRecord* server = found->second.server;
-  leases_.erase({found->second.lease_end, id});
-  running_isolated_ -= found->second.isolated ? 1 : 0;
-  grants_.erase(found);
-  server->End(id);
-  return server;
-}
-
 void GroupScheduler::State::LearnUsual(const ServerRecord& server,
                                        const CallReport& report,
                                        TimePoint granted_at, TimePoint now) {
@@ -362,20 +324,16 @@
 Decisions GroupScheduler::State::Release(GrantId grant,
                                          const CallReport& report,
                                          TimePoint now) {
-  const auto running = grants_.find(grant);
-  const auto lost = lost_grants_.find(grant);
-  if (running != grants_.end()) {
-    const TimePoint granted_at = running->second.granted_at;
-    const bool trial = running->second.server->IsTrial(grant);
-    ServerRecord* server = EndGrant(grant);
-    TakeReport(server, report, trial, granted_at, now);
-  } else if (lost != lost_grants_.end()) {
-    ServerRecord* server = pool_.Find(lost->second.server);
+  if (const auto running = grants_.Find(grant)) {
+    const bool trial = running->server->IsTrial(grant);
+    grants_.End(grant);
+    running->server->End(grant);
+    TakeReport(running->server, report, trial, running->granted_at, now);
+  } else if (const auto lost = grants_.TakeLost(grant)) {
+    ServerRecord* server = pool_.Find(lost->server);
     if (server != nullptr) {
-      TakeReport(server, report, false, lost->second.granted_at, now);
+      TakeReport(server, report, false, lost->granted_at, now);
     }
-    lost_until_.erase({lost->second.forget_at, grant});
-    lost_grants_.erase(lost);
   }
   Dispatch(now);
   return TakeDecisions();
@@ -397,31 +355,22 @@
 // Time
 
 void GroupScheduler::State::EndLeases(TimePoint now) {
-  while (!leases_.empty() && leases_.begin()->first <= now) {
-    const GrantId id = leases_.begin()->second;
-    const RunningGrant grant = grants_.at(id);
-    const bool trial = grant.server->IsTrial(id);
-    const TimePoint forget_at = now + kLateReportMemory;
-    lost_grants_.emplace(
-        id, LostGrant{grant.server->name(), grant.granted_at, forget_at});
-    lost_until_.emplace(forget_at, id);
-    ServerRecord* server = EndGrant(id);
+  while (const auto lease = grants_.FirstLease()) {
+    if (lease->first > now) return;
+    const GrantId id = lease->second;
+    ServerRecord* server = grants_.Find(id)->server;
+    const bool trial = server->IsTrial(id);
+    grants_.Lose(id, now);
+    server->End(id);
     server->OnLeaseEnd(trial, now);
     pool_.Update(server);
   }
 }
 
-void GroupScheduler::State::ForgetLostGrants(TimePoint now) {
-  while (!lost_until_.empty() && lost_until_.begin()->first <= now) {
-    lost_grants_.erase(lost_until_.begin()->second);
-    lost_until_.erase(lost_until_.begin());
-  }
-}
-
 Decisions GroupScheduler::State::Advance(TimePoint now) {
   pool_.Advance(now);
   EndLeases(now);
-  ForgetLostGrants(now);
+  grants_.Forget(now);
   Dispatch(now);
   return TakeDecisions();
 }
@@ -432,7 +381,7 @@
   const auto take = [&next](TimePoint time) {
     if (!next || time < *next) next = time;
   };
-  if (!leases_.empty()) take(leases_.begin()->first);
+  if (const auto lease = grants_.FirstLease()) take(lease->first);
   if (const auto first = line_.FirstDeadline()) take(first->first);
   return next;
 }
@@ -440,7 +389,7 @@
 GroupLoad GroupScheduler::State::Load() const {
   GroupLoad load;
   load.usable_slots = pool_.usable_slots();
-  load.granted = static_cast<int>(grants_.size());
+  load.granted = grants_.running();
   load.waiting = static_cast<int>(line_.size());
   load.mean_service_time = pool_.usual().mean_held();
   return load;
