--- a/benchmarks/experiment/owner_policy.cc
+++ b/benchmarks/experiment/owner_policy.cc
@@ -120,7 +120,7 @@
   }
 }
 
-void OwnerPolicy::MoveFirstGroup(Duration spread) {
+std::size_t OwnerPolicy::AddOwner() {
   Group& group = groups_.front();
   std::vector<HostIncarnation> hosts = HostsOfZone(group.zone);
   hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
@@ -131,12 +131,26 @@
               hosts.end());
   group.owners.push_back(MakeOwner(group));
   group.owner_hosts.push_back(OwnerHost(group, hosts));
-  const std::size_t newest = group.owners.size() - 1;
+  return group.owners.size() - 1;
+}
+
+void OwnerPolicy::SeeOwnerAfter(Duration delay, int host, std::size_t owner) {
+  loop_->After(
+      delay, [this, host, owner] { groups_.front().owner_seen[host] = owner; });
+}
+
+void OwnerPolicy::MoveFirstGroup(Duration spread) {
+  const std::size_t newest = AddOwner();
   for (int host = 0; host < fleet_->shape.hosts; ++host) {
-    const Duration delay = spread * host / fleet_->shape.hosts;
-    loop_->After(delay, [this, host, newest] {
-      groups_.front().owner_seen[host] = newest;
-    });
+    SeeOwnerAfter(spread * host / fleet_->shape.hosts, host, newest);
+  }
+}
+
+void OwnerPolicy::SplitFirstGroup(Duration length) {
+  const std::size_t newest = AddOwner();
+  for (int host = 0; host < fleet_->shape.hosts; ++host) {
+    const bool at_once = host / kZones % 2 == 0;
+    SeeOwnerAfter(at_once ? Duration::zero() : length, host, newest);
   }
 }
 
--- a/benchmarks/experiment/owner_policy.h
+++ b/benchmarks/experiment/owner_policy.h
@@ -43,6 +43,10 @@
   // granting.
   void MoveFirstGroup(Duration spread);
 
+  // Moves the first group, but half of the hosts learn of it only after
+  // `length`: two owners grant the same slots.
+  void SplitFirstGroup(Duration length);
+
  private:
   struct Group {
     GroupId id;
@@ -70,6 +74,9 @@
   using AttemptPointer = std::shared_ptr<Attempt>;
 
   void MakeGroups();
+  // @return the number of the new owner of the first group
+  std::size_t AddOwner();
+  void SeeOwnerAfter(Duration delay, int host, std::size_t owner);
   std::shared_ptr<OwnerProcess> MakeOwner(const Group& group);
   std::vector<GroupServer> Described(const Group& group) const;
   std::vector<HostIncarnation> HostsOfZone(int zone) const;
--- a/benchmarks/experiment/scenario.cc
+++ b/benchmarks/experiment/scenario.cc
@@ -305,6 +305,11 @@
           owner->MoveFirstGroup(kMoveSpread);
         }
         return;
+      case ScenarioKind::kOwnerSplit:
+        if (auto* owner = std::get_if<OwnerPolicy>(policy_.get())) {
+          owner->SplitFirstGroup(kEventLength);
+        }
+        return;
       case ScenarioKind::kColdSigned:
       case ScenarioKind::kColdSilent:
         RestartZone();
--- a/benchmarks/experiment/scenario.h
+++ b/benchmarks/experiment/scenario.h
@@ -32,6 +32,7 @@
   kSlowServer,  // One server becomes ten times as slow.
   kZoneOut,     // One zone leaves for two seconds and comes back.
   kOwnerMove,   // One group moves; hosts learn of it over half a second.
+  kOwnerSplit,  // Two owners grant the slots of one group for two seconds.
   kColdSigned,  // One zone restarts and its servers say that they are cold.
   kColdSilent,  // One zone restarts and its servers do not say so.
 };
--- a/benchmarks/placement_experiment.cc
+++ b/benchmarks/placement_experiment.cc
@@ -36,6 +36,7 @@
     {"slow-server", ScenarioKind::kSlowServer},
     {"zone-out", ScenarioKind::kZoneOut},
     {"owner-move", ScenarioKind::kOwnerMove},
+    {"owner-split", ScenarioKind::kOwnerSplit},
     {"cold-signed", ScenarioKind::kColdSigned},
     {"cold-silent", ScenarioKind::kColdSilent},
 };
