Close three holes in the key ring rule

Cause: (1) two hosts born on both sides of a split, whose only list reading was too early to name the other, each took itself for a majority of one. (3) A hold that had to be valid at every instant broke on late heartbeats, so an unproven host in a disturbed network did not finish its quiet period within 90 s.

Change: no majority and no vote before a list was read that was asked for max_list_lag after the start; a hold is since when a majority committed itself to one ring, shown by answers closer than twice the support lifetime, which rules out a support for another ring in between.

NotProven::retry_after now tells a change of the ring from a quiet period.

--- a/heatherlatch/at_most_once/execution_log.h
+++ b/heatherlatch/at_most_once/execution_log.h
@@ -66,7 +66,8 @@
 
 struct ExecutionLogOptions {
   std::size_t max_entries = 200000;
-  std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;  // Of all kept answers.
+  std::size_t max_answer_bytes =
+      std::size_t{8} * 1024 * 1024;  // Of all kept answers.
   Duration retention = std::chrono::seconds(60);
   Duration ticket_lifetime = std::chrono::minutes(10);
 };
--- a/heatherlatch/at_most_once/execution_log_test.cc
+++ b/heatherlatch/at_most_once/execution_log_test.cc
@@ -171,12 +171,11 @@
 TEST_CASE("any history starts at most one run that may have run",
           "[promise-07]") {
   CHECK(rc::check("at most once in a log", [] {
-    const auto steps =
-        *rc::gen::scale(4.0, rc::gen::container<
-                                 std::vector<std::tuple<int, int, int>>>(
-                                 rc::gen::tuple(rc::gen::inRange(0, 11),
-                                                rc::gen::inRange(0, 16),
-                                                rc::gen::inRange(0, 120))));
+    const auto steps = *rc::gen::scale(
+        4.0,
+        rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 11), rc::gen::inRange(0, 16),
+                           rc::gen::inRange(0, 120))));
     LogHistory history;
     for (const auto& [operation, choice, amount] : steps) {
       history.Step(operation, choice, amount);
@@ -231,9 +230,8 @@
 
 TEST_CASE("a sequence set stays within its bound and forgets nothing") {
   CHECK(rc::check("sequence set", [] {
-    const auto inserted =
-        *rc::gen::container<std::vector<std::uint64_t>>(
-            rc::gen::inRange<std::uint64_t>(1, 60));
+    const auto inserted = *rc::gen::container<std::vector<std::uint64_t>>(
+        rc::gen::inRange<std::uint64_t>(1, 60));
     SequenceSet set(4);
     for (const std::uint64_t sequence : inserted) {
       set.Insert(sequence);
--- a/heatherlatch/at_most_once/internal/electorate.h
+++ b/heatherlatch/at_most_once/internal/electorate.h
@@ -28,6 +28,7 @@
 
   // Adds the names of a reading of the platform's list and removes names that
   // it lacks.
+  // @param now  when the list was asked for
   void NoteListed(const std::vector<HostIncarnation>& listed, TimePoint now);
 
   // Records that a host has left for good. Its name counts again once it is in
--- a/heatherlatch/at_most_once/internal/support_table.h
+++ b/heatherlatch/at_most_once/internal/support_table.h
@@ -1,8 +1,11 @@
-// What each peer last reported to support, and since when without a gap.
+// What each peer last reported to support, and since when it has supported
+// nothing else.
 //
-// Reports are taken in when they arrive and folded in at the next time that the
-// owner of the table observes, so a report that arrives after its lifetime can
-// never close a gap.
+// A peer that changes its ring supports none for the lifetime of a support. To
+// support another ring in between two answers for the same one it needs two
+// such silences, so two answers that are closer than twice the lifetime show
+// that it did not. Reports are taken in when they arrive and folded in, as of
+// that later time, when the owner of the table next observes.
 //
 // Thread safety: none; the caller serialises access. Reads no clock.
 #ifndef HEATHERLATCH_AT_MOST_ONCE_INTERNAL_SUPPORT_TABLE_H_
@@ -33,9 +36,11 @@
   bool Supports(const HostIncarnation& peer, std::uint64_t ring,
                 TimePoint now) const;
 
-  // @return whether the peer has supported the ring from `since` until `now`
-  bool SupportsSince(const HostIncarnation& peer, std::uint64_t ring,
-                     TimePoint since, TimePoint now) const;
+  // @return since when the peer has supported the ring and no other, where it
+  //     supports it now
+  std::optional<TimePoint> SupportedSince(const HostIncarnation& peer,
+                                          std::uint64_t ring,
+                                          TimePoint now) const;
 
   // Drops every report of peers that `keep` does not accept.
   template <typename Predicate>
@@ -61,9 +66,6 @@
     TimePoint last_asked_at;
   };
 
-  const Support* Find(const HostIncarnation& peer, std::uint64_t ring,
-                      TimePoint now) const;
-
   Duration lifetime_;
   std::map<HostIncarnation, Peer> peers_;
 };
--- a/heatherlatch/at_most_once/key_ring.cc
+++ b/heatherlatch/at_most_once/key_ring.cc
@@ -30,7 +30,8 @@
   State(HostIncarnation self, KeyRingOptions options, TimePoint now);
 
   void SetMembers(const std::vector<HostIncarnation>& members, TimePoint now);
-  void NoteListed(const std::vector<HostIncarnation>& listed, TimePoint now);
+  void NoteListed(const std::vector<HostIncarnation>& listed,
+                  TimePoint asked_at);
   std::uint64_t SupportedRing(TimePoint now);
   void OnSupport(const HostIncarnation& peer, std::uint64_t ring,
                  TimePoint asked_at);
@@ -42,6 +43,11 @@
   bool HasMajority(TimePoint now);
 
  private:
+  struct ListReading {
+    std::vector<HostIncarnation> listed;
+    TimePoint asked_at;
+  };
+
   // The last time that this host had the right to run keys, and who could have
   // owned some of them since.
   struct Proof {
@@ -63,8 +69,13 @@
   void Adopt(Ring ring, TimePoint now);
   void GainVote(TimePoint now);
   bool Silent(TimePoint now) const;
-  bool MajoritySince(TimePoint since, TimePoint now) const;
-  bool SelfSupports(TimePoint now) const;
+  // @return since when a majority has supported this ring and no other, where
+  //     it does so now
+  std::optional<TimePoint> CommittedSince(TimePoint now) const;
+  // @return since when a peer, or this host, has supported this ring
+  std::optional<TimePoint> VoteSince(const HostIncarnation& member,
+                                     TimePoint now) const;
+  void UpdateElectorate(TimePoint now);
   // @return whether a peer reports the ring of this host, with a vote or not
   bool SeesSameRing(const HostIncarnation& peer, TimePoint now) const;
   // @return the member of the ring with this name, if exactly one has it
@@ -81,14 +92,20 @@
   Ring ring_;
   std::uint64_t support_hash_ = 0;
   std::uint64_t observe_hash_ = 0;
+  TimePoint started_at_;
   TimePoint ring_changed_at_;
+  // Whether a list was read that names every host older than this one.
+  bool has_full_list_ = false;
   std::optional<TimePoint> vote_since_;
   bool leaving_ = false;
   Electorate electorate_;
   SupportTable supports_;
-  TimePoint observed_at_;
-  // Since when a majority has supported the present ring without a gap.
+  std::optional<ListReading> unread_list_;
+  // Since when a majority has supported the present ring and no other, where
+  // it supports it now.
   std::optional<TimePoint> majority_since_;
+  // The earliest time from which the present electorate may be counted.
+  TimePoint electorate_since_;
   std::optional<Proof> proof_;
   Ring hand_over_due_;
 };
@@ -97,9 +114,9 @@
                       TimePoint now)
     : self_(std::move(self)),
       options_(options),
+      started_at_(now),
       electorate_(options.quiet_period, options.support_lifetime),
-      supports_(options.support_lifetime),
-      observed_at_(now) {
+      supports_(options.support_lifetime) {
   Adopt({self_}, now);
 }
 
@@ -133,9 +150,8 @@
 }
 
 void KeyRing::State::NoteListed(const std::vector<HostIncarnation>& listed,
-                                TimePoint now) {
-  electorate_.NoteListed(listed, now);
-  Observe(now);
+                                TimePoint asked_at) {
+  unread_list_ = ListReading{listed, asked_at};
 }
 
 bool KeyRing::State::Silent(TimePoint now) const {
@@ -157,20 +173,29 @@
   supports_.KeepOnly(
       [this](const HostIncarnation& peer) { return ring_.count(peer) > 0; });
   supports_.Fold(now);
-  electorate_.Advance(now);
+  UpdateElectorate(now);
   GainVote(now);
-  if (!MajoritySince(now, now)) {
-    majority_since_.reset();
-  } else {
-    const bool held = majority_since_ && MajoritySince(observed_at_, now);
-    if (!held) majority_since_ = now;
-    ConfirmProof(now);
+  majority_since_ = CommittedSince(now);
+  if (majority_since_) ConfirmProof(now);
+}
+
+void KeyRing::State::UpdateElectorate(TimePoint now) {
+  const std::size_t size_before = electorate_.last_named().size();
+  const std::optional<TimePoint> since_before = CommittedSince(now);
+  electorate_.Advance(now);
+  if (unread_list_) {
+    const TimePoint asked_at = unread_list_->asked_at;
+    electorate_.NoteListed(unread_list_->listed, asked_at);
+    if (asked_at - started_at_ >= options_.max_list_lag) has_full_list_ = true;
+    unread_list_.reset();
   }
-  observed_at_ = now;
+  // A majority of fewer names counts from now; before, it took more.
+  if (electorate_.last_named().size() >= size_before) return;
+  electorate_since_ = std::max(electorate_since_, since_before.value_or(now));
 }
 
 void KeyRing::State::GainVote(TimePoint now) {
-  if (vote_since_ || Silent(now) || !electorate_.has_list()) return;
+  if (vote_since_ || Silent(now) || !has_full_list_) return;
   for (const auto& [host, named_at] : electorate_.last_named()) {
     const HostIncarnation* member = MemberNamed(host);
     if (member == nullptr) return;
@@ -193,22 +218,27 @@
   return ambiguous ? nullptr : &*first;
 }
 
-bool KeyRing::State::SelfSupports(TimePoint now) const {
-  return vote_since_ && *vote_since_ <= now && !Silent(now);
+std::optional<TimePoint> KeyRing::State::VoteSince(
+    const HostIncarnation& member, TimePoint now) const {
+  if (member != self_) {
+    return supports_.SupportedSince(member, support_hash_, now);
+  }
+  if (!vote_since_ || Silent(now)) return std::nullopt;
+  return std::max(*vote_since_, ring_changed_at_ + options_.support_lifetime);
 }
 
-bool KeyRing::State::MajoritySince(TimePoint since, TimePoint now) const {
-  std::size_t votes = 0;
+std::optional<TimePoint> KeyRing::State::CommittedSince(TimePoint now) const {
+  if (!has_full_list_) return std::nullopt;
+  std::vector<TimePoint> votes;
   for (const auto& [host, named_at] : electorate_.last_named()) {
     const HostIncarnation* member = MemberNamed(host);
     if (member == nullptr) continue;
-    const bool votes_here =
-        *member == self_
-            ? SelfSupports(since)
-            : supports_.SupportsSince(*member, support_hash_, since, now);
-    if (votes_here) ++votes;
+    if (const auto since = VoteSince(*member, now)) votes.push_back(*since);
   }
-  return 2 * votes > electorate_.last_named().size();
+  const std::size_t majority = electorate_.last_named().size() / 2 + 1;
+  if (votes.size() < majority) return std::nullopt;
+  std::sort(votes.begin(), votes.end());
+  return std::max(electorate_since_, votes[majority - 1]);
 }
 
 void KeyRing::State::ConfirmProof(TimePoint now) {
@@ -307,9 +337,13 @@
   const std::uint64_t key_hash = HashOf(ToString(RequestKey(key)));
   const HostIncarnation owner = OwnerIn(ring_, key_hash);
   if (owner != self_) return ForwardTo{owner};
-  if (leaving_ || !majority_since_) return NotProven{options_.quiet_period};
-  if (proof_ && ProofCovers(key_hash)) return RunHere{};
-  return NotProven{options_.quiet_period - (now - *majority_since_)};
+  if (leaving_) return NotProven{options_.quiet_period};
+  const bool proven = ProofIsFresh(now) && ProofCovers(key_hash);
+  if (proven && majority_since_) return RunHere{};
+  // A majority returns after the silence that follows a change of the ring.
+  if (proven) return NotProven{options_.support_lifetime};
+  return NotProven{options_.quiet_period -
+                   (now - majority_since_.value_or(now))};
 }
 
 bool KeyRing::State::HasMajority(TimePoint now) {
@@ -329,8 +363,8 @@
 }
 
 void KeyRing::NoteListed(const std::vector<HostIncarnation>& listed,
-                         TimePoint now) {
-  state_->NoteListed(listed, now);
+                         TimePoint asked_at) {
+  state_->NoteListed(listed, asked_at);
 }
 
 std::uint64_t KeyRing::SupportedRing(TimePoint now) const {
--- a/heatherlatch/at_most_once/key_ring.h
+++ b/heatherlatch/at_most_once/key_ring.h
@@ -19,10 +19,12 @@
 // ring of this host or in the platform's list. Silence removes no name. A name
 // is removed when the platform's list, read at least `quiet_period` after the
 // name was last seen, no longer has it, or `support_lifetime` after its host
-// handed over and left. A new incarnation only observes: its support is counted
-// once every name of its own electorate has reported the same ring. So a host
-// with a majority has in its electorate every host whose support counts
-// anywhere, and two rings never have a majority at the same moment.
+// handed over and left. A new incarnation has no majority before it has read a
+// list that it asked for `max_list_lag` after its start, and until every name
+// of its electorate has then reported its own ring, it only observes: its
+// support does not count. So a host with a majority has in its electorate every
+// host whose support counts anywhere, and two rings never have a majority at
+// the same moment.
 //
 // Bound. `quiet_period` must be longer than the resend window of the published
 // limits plus the longest request deadline plus `2 * support_lifetime` plus the
@@ -61,13 +63,18 @@
 struct KeyRingOptions {
   Duration support_lifetime = std::chrono::seconds(2);
   Duration quiet_period = std::chrono::seconds(45);
+  // The platform's list names every host that has been live for this long.
+  Duration max_list_lag = std::chrono::seconds(10);
 };
 
 struct RunHere {};  // This host may run the request now.
 struct ForwardTo {  // Another host owns the key.
   HostIncarnation owner;
 };
-struct NotProven {  // This host owns the key but may not run it yet.
+// This host owns the key but may not run it yet.
+struct NotProven {
+  // When it may, if nothing changes: the support lifetime after a change of the
+  // ring, which a request may wait for, or what is left of a quiet period.
   Duration retry_after{};
 };
 using KeyVerdict = std::variant<RunHere, ForwardTo, NotProven>;
@@ -85,8 +92,10 @@
 
   // Records a reading of the platform's list: the hosts of the region, leaving
   // ones included. A host supports no ring before its first reading.
-  // @param listed  the hosts; the nonce is 0 where it is not known
-  void NoteListed(const std::vector<HostIncarnation>& listed, TimePoint now);
+  // @param listed    the hosts; the nonce is 0 where it is not known
+  // @param asked_at  when this host asked for the list
+  void NoteListed(const std::vector<HostIncarnation>& listed,
+                  TimePoint asked_at);
 
   // @return the hash of the ring that this host supports or observes now; 0
   //     while it does neither. To be sent as it is in the answer to a
--- a/heatherlatch/at_most_once/key_ring_model_test.cc
+++ b/heatherlatch/at_most_once/key_ring_model_test.cc
@@ -44,10 +44,11 @@
   Duration deadline = seconds(2);
   Duration max_list_lag = seconds(5);
   Duration stop_wait = seconds(4);
+  bool calm_network = false;  // Every message arrives after one tick.
 };
 
 KeyRingOptions RingOptions(const ModelTimes& times) {
-  return {times.support_lifetime, times.quiet_period};
+  return {times.support_lifetime, times.quiet_period, times.max_list_lag};
 }
 
 ExecutionLogOptions LogOptions(const ModelTimes& times) {
@@ -186,14 +187,12 @@
   int double_runs() const { return double_runs_; }
   int runs() const { return runs_; }
 
-  // @return the hosts that would run the key now
+  // @return the number of hosts that would run the key now
   int Runners(const CallerKey& key) {
     int runners = 0;
     for (Process* process : current_) {
-      if (process != nullptr && !process->leaving) {
-        const RequestKey request_key = key;
-        if (MayRun(*process, request_key)) ++runners;
-      }
+      if (process == nullptr || process->leaving) continue;
+      if (!IsPaused(*process) && MayRun(*process, key)) ++runners;
     }
     return runners;
   }
@@ -283,9 +282,11 @@
   }
 
   void Send(const Process& from, const HostIncarnation& to, Content content) {
-    const bool lost = Draw(20) == 0 && IsLossy(content);
+    const bool disturbed = !times_.calm_network;
+    const bool lost = disturbed && Draw(20) == 0 && IsLossy(content);
     if (lost || from.cut_off) return;
-    TimePoint arrives = now_ + kTick * (Draw(8) == 0 ? Draw(8) : 1);
+    const bool delayed = disturbed && Draw(8) == 0;
+    TimePoint arrives = now_ + kTick * (delayed ? Draw(8) : 1);
     TimePoint& last = last_arrival_[{from.self, to}];
     arrives = std::max(arrives, last);  // A link keeps the order.
     last = arrives;
@@ -601,5 +602,121 @@
   CHECK(FirstFailingSeed(Rule::kKeyRing, 60) == 0);
 }
 
+// The times that the product uses.
+ModelTimes ProductTimes() {
+  ModelTimes times;
+  times.support_lifetime = KeyRingOptions().support_lifetime;
+  times.quiet_period = KeyRingOptions().quiet_period;
+  times.max_list_lag = KeyRingOptions().max_list_lag;
+  times.remove_after = seconds(5);
+  times.calm_network = true;
+  return times;
+}
+
+constexpr int kSampleKeys = 300;
+
+// @return the share of keys that no host would run now
+double RefusedShare(Fleet& fleet) {
+  int refused = 0;
+  for (int i = 0; i < kSampleKeys; ++i) {
+    const int runners = fleet.Runners({kShop, "sample-" + std::to_string(i)});
+    CHECK(runners <= 1);
+    if (runners == 0) ++refused;
+  }
+  return static_cast<double>(refused) / kSampleKeys;
+}
+
+struct Outage {
+  double share_seconds = 0;  // Refused share, summed over time.
+  double until_whole = 0;    // Seconds until every key ran again.
+};
+
+// Runs the fleet for `duration` and measures what it refuses.
+Outage Measure(Fleet& fleet, Duration duration) {
+  const double tick_seconds = ToMilliseconds(kTick) / 1000;
+  Outage outage;
+  for (int tick = 1; tick <= duration / kTick; ++tick) {
+    fleet.Run(kTick, /*send_requests=*/false);
+    const double refused = RefusedShare(fleet);
+    outage.share_seconds += refused * tick_seconds;
+    if (refused > 0) outage.until_whole = tick * tick_seconds;
+  }
+  return outage;
+}
+
+void Print(const char* what, const Outage& outage) {
+  std::cout << what << ": every key runs after " << outage.until_whole
+            << " s; refused share x time " << outage.share_seconds << " s"
+            << std::endl;
+}
+
+// A fleet of the product's times in which every key has its host.
+class SettledFleet {
+ public:
+  explicit SettledFleet(int hosts)
+      : fleet(Rule::kKeyRing, ProductTimes(), hosts, /*seed=*/1) {
+    fleet.Run(seconds(90), /*send_requests=*/false);
+    REQUIRE(RefusedShare(fleet) == 0);
+  }
+
+  Fleet fleet;
+};
+
+TEST_CASE("a first start refuses callers' keys for a quiet period") {
+  Fleet fleet(Rule::kKeyRing, ProductTimes(), 6, /*seed=*/1);
+  const Outage outage = Measure(fleet, seconds(90));
+  Print("first start of 6 hosts", outage);
+  CHECK(outage.until_whole >= 45);
+  CHECK(outage.until_whole < 65);
+}
+
+TEST_CASE("a planned leave needs no quiet period") {
+  const int hosts = GENERATE(2, 3, 6);
+  SettledFleet settled(hosts);
+  settled.fleet.Leave(1);
+  const Outage outage = Measure(settled.fleet, seconds(60));
+  CAPTURE(hosts);
+  Print("planned leave", outage);
+  CHECK(outage.until_whole < 12);
+}
+
+TEST_CASE("a host that joins takes its keys over without a quiet period") {
+  SettledFleet settled(6);
+  settled.fleet.Leave(1);
+  settled.fleet.Run(seconds(60), /*send_requests=*/false);
+  settled.fleet.Start(1);
+  const Outage outage = Measure(settled.fleet, seconds(60));
+  Print("join of 1 to 5", outage);
+  CHECK(outage.until_whole < 20);
+}
+
+TEST_CASE("the death of a host costs its share for a quiet period") {
+  SettledFleet settled(6);
+  settled.fleet.Kill(1);
+  const Outage outage = Measure(settled.fleet, seconds(90));
+  Print("death of 1 of 6", outage);
+  CHECK(outage.until_whole < 60);
+  CHECK(outage.share_seconds < 15);
+}
+
+TEST_CASE("a pause costs no quiet period") {
+  const int pause_seconds = GENERATE(3, 12);
+  SettledFleet settled(6);
+  settled.fleet.Pause(1, seconds(pause_seconds));
+  const Outage outage = Measure(settled.fleet, seconds(60));
+  std::cout << pause_seconds << " s: ";
+  Print("pause of 1 of 6", outage);
+  CHECK(outage.until_whole < pause_seconds + 8);
+}
+
+TEST_CASE("half a region lost stops callers' keys until the list drops it") {
+  SettledFleet settled(6);
+  for (const int slot : {0, 1, 2}) settled.fleet.Kill(slot);
+  const Outage outage = Measure(settled.fleet, seconds(180));
+  Print("death of 3 of 6", outage);
+  CHECK(outage.until_whole > 90);
+  CHECK(outage.until_whole < 130);
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/at_most_once/support_table.cc
+++ b/heatherlatch/at_most_once/support_table.cc
@@ -18,34 +18,27 @@
     if (!entry.arrived) continue;
     const Arrived arrived = *entry.arrived;
     entry.arrived.reset();
-    const bool continues =
-        entry.support && entry.support->ring == arrived.ring &&
-        arrived.asked_at <= entry.support->asked_at + lifetime_;
+    const bool continues = entry.support &&
+                           entry.support->ring == arrived.ring &&
+                           now < entry.support->asked_at + 2 * lifetime_;
     const TimePoint since = continues ? entry.support->since : now;
     entry.support = Support{arrived.ring, since, arrived.asked_at};
   }
 }
 
-const SupportTable::Support* SupportTable::Find(const HostIncarnation& peer,
-                                                std::uint64_t ring,
-                                                TimePoint now) const {
-  const auto found = peers_.find(peer);
-  if (found == peers_.end() || !found->second.support) return nullptr;
-  const Support& support = *found->second.support;
-  const bool holds = support.ring == ring && now < support.asked_at + lifetime_;
-  return holds ? &support : nullptr;
-}
-
 bool SupportTable::Supports(const HostIncarnation& peer, std::uint64_t ring,
                             TimePoint now) const {
-  return Find(peer, ring, now) != nullptr;
+  return SupportedSince(peer, ring, now).has_value();
 }
 
-bool SupportTable::SupportsSince(const HostIncarnation& peer,
-                                 std::uint64_t ring, TimePoint since,
-                                 TimePoint now) const {
-  const Support* support = Find(peer, ring, now);
-  return support != nullptr && support->since <= since;
+std::optional<TimePoint> SupportTable::SupportedSince(
+    const HostIncarnation& peer, std::uint64_t ring, TimePoint now) const {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end() || !found->second.support) return std::nullopt;
+  const Support& support = *found->second.support;
+  const bool holds = support.ring == ring && now < support.asked_at + lifetime_;
+  if (!holds) return std::nullopt;
+  return support.since;
 }
 
 }  // namespace heatherlatch
