--- a/heatherlatch/admission/crash_suspects_test.cc
+++ b/heatherlatch/admission/crash_suspects_test.cc
@@ -1,1 +1,221 @@
+#include "heatherlatch/admission/crash_suspects.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const ServiceName kService("ledger");
+constexpr ContentDigest kKiller = 1;
+constexpr ContentDigest kInnocent = 2;
+
+// Makes a content a suspect.
+void CrashWith(CrashSuspects& suspects, ContentDigest digest, TimePoint now) {
+  suspects.Admit(kService, digest, now);
+  suspects.OnEnd(kService, digest, /*server_lost=*/true, now);
+}
+
+// One run on a server: the host that admitted it and the content.
+struct Run {
+  std::size_t host = 0;
+  ContentDigest digest = 0;
+};
+
+// Hosts that send contents to servers and tell one another of suspects after a
+// delay. One content kills each server that runs it.
+class Hosts {
+ public:
+  Hosts(std::size_t hosts, Duration sharing_delay)
+      : hosts_(hosts, CrashSuspects(CrashSuspectsOptions())),
+        sharing_delay_(sharing_delay) {}
+
+  void Step(int operation, int host_choice, int amount) {
+    const std::size_t host = host_choice % hosts_.size();
+    if (operation == 0) now_ += milliseconds(amount);
+    if (operation == 1) Send(host, kKiller, amount);
+    if (operation == 2) Send(host, kInnocent + amount % 4, amount);
+    if (operation == 3) Answer(amount);
+    Share();
+  }
+
+  int kills() const { return kills_; }
+  // Kills whose run was admitted before its host could know of the crash
+  // before.
+  int kills_within_delay() const { return kills_within_delay_; }
+
+ private:
+  struct Notice {
+    TimePoint at;
+    SuspectNotice notice;
+  };
+
+  // Runs a content on one of three servers, or on an idle one.
+  void Send(std::size_t host, ContentDigest digest, int server_choice) {
+    const SuspectVerdict verdict = hosts_[host].Admit(kService, digest, now_);
+    if (digest != kKiller) RC_ASSERT(verdict != SuspectVerdict::kRefuse);
+    if (verdict == SuspectVerdict::kRefuse) return;
+    if (verdict == SuspectVerdict::kWait) return;
+    const int shared_server = server_choice % 3;
+    const bool isolated = verdict == SuspectVerdict::kIsolate;
+    const int server = isolated ? ++last_idle_server_ : shared_server;
+    servers_[server].push_back({host, digest});
+    if (digest != kKiller) return;
+    if (admitted_at_ && now_ < told_at_) within_delay_ = true;
+    admitted_at_ = now_;
+    killed_server_ = server;
+    Crash();
+  }
+
+  // Ends one run that is not the killer.
+  void Answer(int choice) {
+    if (servers_.empty()) return;
+    auto it =
+        std::next(servers_.begin(), choice % static_cast<int>(servers_.size()));
+    const Run run = it->second.back();
+    it->second.pop_back();
+    if (it->second.empty()) servers_.erase(it);
+    hosts_[run.host].OnEnd(kService, run.digest, false, now_);
+  }
+
+  // Loses the server that runs the killer, with everything on it.
+  void Crash() {
+    if (!killed_server_) return;
+    ++kills_;
+    if (within_delay_) ++kills_within_delay_;
+    within_delay_ = false;
+    told_at_ = now_ + sharing_delay_;
+    const std::vector<Run> runs = servers_[*killed_server_];
+    servers_.erase(*killed_server_);
+    killed_server_.reset();
+    for (const Run& run : runs) {
+      const SuspectNotice notice =
+          hosts_[run.host].OnEnd(kService, run.digest, true, now_);
+      if (notice.crashes > 0) notices_.push_back({told_at_, notice});
+    }
+  }
+
+  void Share() {
+    for (const Notice& notice : notices_) {
+      if (notice.at > now_) continue;
+      SuspectNotice aged = notice.notice;
+      aged.age = sharing_delay_;
+      for (CrashSuspects& host : hosts_) host.Learn(aged, now_);
+    }
+    const auto told = [this](const Notice& notice) {
+      return notice.at <= now_;
+    };
+    notices_.erase(std::remove_if(notices_.begin(), notices_.end(), told),
+                   notices_.end());
+  }
+
+  std::vector<CrashSuspects> hosts_;
+  Duration sharing_delay_;
+  TimePoint now_{minutes(10)};
+  TimePoint told_at_{};
+  std::map<int, std::vector<Run>> servers_;
+  std::vector<Notice> notices_;
+  std::optional<TimePoint> admitted_at_;
+  std::optional<int> killed_server_;
+  int last_idle_server_ = 100;
+  int kills_ = 0;
+  int kills_within_delay_ = 0;
+  bool within_delay_ = false;
+};
+
+using Steps = std::vector<std::tuple<int, int, int>>;
+
+Steps DrawSteps() {
+  return *rc::gen::scale(
+      3.0, rc::gen::container<Steps>(rc::gen::tuple(rc::gen::inRange(0, 4),
+                                                    rc::gen::inRange(0, 5),
+                                                    rc::gen::inRange(0, 200))));
+}
+
+TEST_CASE("a content that kills its servers kills two of them") {
+  CHECK(
+      rc::check("two servers die, plus one for each run within the delay", [] {
+        Hosts hosts(5, milliseconds(*rc::gen::inRange(0, 200)));
+        // 300 steps of at most 200 ms are within the memory time of 5 minutes.
+        for (const auto& [operation, host, amount] : DrawSteps()) {
+          hosts.Step(operation, host, amount);
+        }
+        RC_ASSERT(hosts.kills() <= 2 + hosts.kills_within_delay());
+      }));
+}
+
+TEST_CASE("an innocent content is cleared by its first isolated answer") {
+  const TimePoint now{minutes(10)};
+  CrashSuspects suspects{CrashSuspectsOptions()};
+  CrashWith(suspects, kInnocent, now);
+  CHECK(suspects.Admit(kService, kInnocent, now) == SuspectVerdict::kIsolate);
+  CHECK(suspects.Admit(kService, kInnocent, now) == SuspectVerdict::kWait);
+  suspects.OnEnd(kService, kInnocent, false, now);
+  CHECK(suspects.Admit(kService, kInnocent, now) == SuspectVerdict::kClear);
+  CHECK(suspects.size() == 0);
+}
+
+TEST_CASE("a run without an answer clears nothing") {
+  const TimePoint now{minutes(10)};
+  CrashSuspects suspects{CrashSuspectsOptions()};
+  CrashWith(suspects, kKiller, now);
+  REQUIRE(suspects.Admit(kService, kKiller, now) == SuspectVerdict::kIsolate);
+  suspects.OnEndWithoutAnswer(kService, kKiller);
+  REQUIRE(suspects.Admit(kService, kKiller, now) == SuspectVerdict::kIsolate);
+  CHECK(suspects.OnEnd(kService, kKiller, true, now).crashes == 2);
+  CHECK(suspects.Admit(kService, kKiller, now) == SuspectVerdict::kRefuse);
+}
+
+TEST_CASE("copies that run at the first crash end before the suspect runs") {
+  const TimePoint now{minutes(10)};
+  CrashSuspects suspects{CrashSuspectsOptions()};
+  suspects.Admit(kService, kInnocent, now);
+  suspects.Admit(kService, kInnocent, now);
+  suspects.OnEnd(kService, kInnocent, true, now);
+  CHECK(suspects.Admit(kService, kInnocent, now) == SuspectVerdict::kWait);
+  // Two shared servers were lost; that is no proof.
+  suspects.OnEnd(kService, kInnocent, true, now);
+  CHECK(suspects.Admit(kService, kInnocent, now) == SuspectVerdict::kIsolate);
+}
+
+TEST_CASE("suspicion ends with its memory time") {
+  const TimePoint now{minutes(10)};
+  CrashSuspects suspects{CrashSuspectsOptions()};
+  CrashWith(suspects, kKiller, now);
+  const TimePoint end = now + CrashSuspectsOptions().memory;
+  suspects.Expire(end - milliseconds(1));
+  CHECK(suspects.size() == 1);
+  suspects.Expire(end);
+  CHECK(suspects.size() == 0);
+  suspects.Learn({kKiller, kService, 2, CrashSuspectsOptions().memory}, end);
+  CHECK(suspects.size() == 0);
+}
+
+TEST_CASE("a full memory keeps the proven content") {
+  TimePoint now{minutes(10)};
+  CrashSuspectsOptions options;
+  options.max_suspects = 3;
+  CrashSuspects suspects(options);
+  suspects.Learn({kKiller, kService, 2, seconds(1)}, now);
+  for (ContentDigest digest = 10; digest < 30; ++digest) {
+    now += milliseconds(1);
+    CrashWith(suspects, digest, now);
+    REQUIRE(suspects.size() <= options.max_suspects);
+  }
+  CHECK(suspects.Admit(kService, kKiller, now) == SuspectVerdict::kRefuse);
+  CHECK(suspects.Admit(kService, 29, now) == SuspectVerdict::kIsolate);
+  CHECK(suspects.Admit(kService, 10, now) == SuspectVerdict::kClear);
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/configuration/configuration_keeper_test.cc
+++ b/heatherlatch/configuration/configuration_keeper_test.cc
@@ -1,1 +1,141 @@
+#include "heatherlatch/configuration/configuration_keeper.h"
+
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const HostIncarnation kPeer{HostName("entry-2"), 2};
+
+ConfigurationDocument Document(Revision revision) {
+  return {revision, "revision " + std::to_string(revision)};
+}
+
+// Every fifth revision is one that does not pass.
+bool Passes(Revision revision) { return revision % 5 != 0; }
+
+using CheckResult = std::variant<std::shared_ptr<const ObjectSet>, Rejected>;
+
+CheckResult CheckDocument(const ConfigurationDocument& document) {
+  if (!Passes(document.revision)) {
+    return Rejected{document.revision, "line 1: broken"};
+  }
+  auto set = std::make_shared<ObjectSet>();
+  set->revision = document.revision;
+  return std::shared_ptr<const ObjectSet>(std::move(set));
+}
+
+ConfigurationKeeper NewKeeper(TimePoint started) {
+  return ConfigurationKeeper(ConfigurationOptions(), CheckDocument, started);
+}
+
+// A host that is restarted now and then, with one peer that outlives it.
+class Host {
+ public:
+  void Step(int operation, Revision revision) {
+    if (operation == 0) Offer(revision);
+    if (operation == 1) Report(revision);
+    if (operation == 2) now_ += milliseconds(revision * 100);
+    if (operation == 3) Restart();
+    CheckWhatIsServed();
+  }
+
+ private:
+  void Offer(Revision revision) {
+    const Revision before = keeper_->InForce();
+    keeper_->Offer(Document(revision), now_);
+    RC_ASSERT(keeper_->InForce() >= before);
+    RC_ASSERT(keeper_->InForce() == before || keeper_->InForce() == revision);
+  }
+
+  void Report(Revision revision) {
+    keeper_->OnPeerLink(kPeer, true);
+    const bool ask = keeper_->OnPeerRevision(kPeer, revision);
+    RC_ASSERT(ask || revision <= keeper_->InForce() || !Passes(revision));
+    if (!serving_) highest_told_ = std::max(highest_told_, revision);
+  }
+
+  void Restart() {
+    keeper_ = NewKeeper(now_);
+    serving_ = false;
+    highest_told_ = 0;
+  }
+
+  void CheckWhatIsServed() {
+    RC_ASSERT((keeper_->Current() == nullptr) == (keeper_->InForce() == 0));
+    const bool may_serve = keeper_->MayServe(now_);
+    RC_ASSERT(may_serve || !serving_);
+    serving_ = may_serve;
+    if (!may_serve) return;
+    RC_ASSERT(Passes(keeper_->InForce()));
+    RC_ASSERT(keeper_->Current()->revision == keeper_->InForce());
+    RC_ASSERT(keeper_->Document().revision == keeper_->InForce());
+    RC_ASSERT(keeper_->InForce() >= highest_told_);
+  }
+
+  TimePoint now_{seconds(100)};
+  std::optional<ConfigurationKeeper> keeper_ =
+      NewKeeper(TimePoint(seconds(100)));
+  bool serving_ = false;
+  Revision highest_told_ = 0;
+};
+
+TEST_CASE("no order of offers reverts or serves what did not pass",
+          "[promise-10]") {
+  CHECK(rc::check("configuration never reverts", [] {
+    Host host;
+    const auto steps =
+        *rc::gen::container<std::vector<std::tuple<int, Revision>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 4),
+                           rc::gen::inRange<Revision>(0, 40)));
+    for (const auto& [operation, revision] : steps) {
+      host.Step(operation, revision);
+    }
+  }));
+}
+
+TEST_CASE("a new host does not serve a set that a peer has replaced",
+          "[promise-10]") {
+  const TimePoint started{};
+  ConfigurationKeeper keeper = NewKeeper(started);
+  keeper.Offer(Document(6), started);
+  CHECK_FALSE(keeper.MayServe(started));
+  CHECK(keeper.OnPeerRevision(kPeer, 7));
+  CHECK_FALSE(keeper.MayServe(started + seconds(60)));
+  keeper.Offer(Document(7), started);
+  CHECK(keeper.MayServe(started + seconds(60)));
+  // A serving host serves on while it fetches the next one.
+  CHECK(keeper.OnPeerRevision(kPeer, 8));
+  CHECK(keeper.MayServe(started + seconds(60)));
+}
+
+TEST_CASE("a rejected set is checked once and replaces nothing",
+          "[promise-10]") {
+  int checks = 0;
+  const auto checker = [&checks](const ConfigurationDocument& document) {
+    ++checks;
+    return CheckDocument(document);
+  };
+  ConfigurationKeeper keeper(ConfigurationOptions(), checker, TimePoint{});
+  keeper.Offer(Document(4), TimePoint{});
+  const OfferResult first = keeper.Offer(Document(5), TimePoint{});
+  REQUIRE(std::holds_alternative<Rejected>(first));
+  CHECK(std::get<Rejected>(first).problems == "line 1: broken");
+  const OfferResult again = keeper.Offer(Document(5), TimePoint{});
+  CHECK(std::holds_alternative<Older>(again));
+  CHECK_FALSE(keeper.OnPeerRevision(kPeer, 5));
+  CHECK(checks == 2);
+  CHECK(keeper.InForce() == 4);
+  CHECK(std::holds_alternative<Accepted>(keeper.Offer(Document(6), {})));
+}
+
+}  // namespace
+}  // namespace heatherlatch
