Make the fleet model run what is sent

Cause: mutants of the ring survived the model. Tickets and the simpler rules were not affected.

Adds direct tests of the electorate, of hand-over and of leaving.

--- a/heatherlatch/at_most_once/key_ring_model_test.cc
+++ b/heatherlatch/at_most_once/key_ring_model_test.cc
@@ -36,11 +36,11 @@
 };
 
 struct ModelTimes {
-  Duration support_lifetime = seconds(1);
-  Duration quiet_period = seconds(10);
+  Duration support_lifetime = milliseconds(1500);
+  Duration quiet_period = seconds(14);
   Duration heartbeat_interval = milliseconds(500);
   Duration remove_after = seconds(2);
-  Duration resend_window = seconds(4);
+  Duration resend_window = seconds(8);
   Duration deadline = seconds(2);
   Duration max_list_lag = seconds(5);
   Duration stop_wait = seconds(4);
@@ -283,9 +283,9 @@
 
   void Send(const Process& from, const HostIncarnation& to, Content content) {
     const bool disturbed = !times_.calm_network;
-    const bool lost = disturbed && Draw(20) == 0 && IsLossy(content);
+    const bool lost = disturbed && Draw(50) == 0 && IsLossy(content);
     if (lost || from.cut_off) return;
-    const bool delayed = disturbed && Draw(8) == 0;
+    const bool delayed = disturbed && Draw(30) == 0;
     TimePoint arrives = now_ + kTick * (delayed ? Draw(8) : 1);
     TimePoint& last = last_arrival_[{from.self, to}];
     arrives = std::max(arrives, last);  // A link keeps the order.
@@ -443,7 +443,7 @@
     for (int i = 0; i < 2; ++i) {
       const CallerKey key{kShop, std::to_string(++last_key_)};
       resends_.emplace(now_, key);
-      for (int repeat = Draw(5); repeat > 0; --repeat) {
+      for (int repeat = Draw(8); repeat > 0; --repeat) {
         const int ticks = static_cast<int>(times_.resend_window / kTick);
         resends_.emplace(now_ + kTick * Draw(ticks), key);
       }
@@ -598,6 +598,15 @@
   CHECK(seed > 0);
 }
 
+TEST_CASE("the model's disturbed fleets run most of what is sent") {
+  Fleet fleet(Rule::kKeyRing, ModelTimes(), 5, /*seed=*/1);
+  fleet.Run(3 * ModelTimes().quiet_period, /*send_requests=*/true);
+  const int runs_before = fleet.runs();
+  fleet.Run(250 * kTick, /*send_requests=*/true);
+  // Two keys and a ticket are sent in each tick; repeats run nothing.
+  CHECK(fleet.runs() - runs_before > 500);
+}
+
 TEST_CASE("long drawn histories run nothing twice", "[promise-07]") {
   CHECK(FirstFailingSeed(Rule::kKeyRing, 60) == 0);
 }
--- a/heatherlatch/at_most_once/key_ring_test.cc
+++ b/heatherlatch/at_most_once/key_ring_test.cc
@@ -1,1 +1,159 @@
+#include "heatherlatch/at_most_once/key_ring.h"
+
 #include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const CallerKey kKey{OrganisationName("shop"), "key"};
+
+// Key rings of named hosts that exchange supports over a perfect network.
+class Hosts {
+ public:
+  using Names = std::set<std::string>;
+
+  void Start(const Names& names) {
+    for (const std::string& name : names) {
+      rings_.emplace(name, KeyRing(Host(name), KeyRingOptions(), now_));
+    }
+  }
+
+  static HostIncarnation Host(const std::string& name) {
+    return {HostName(name), 1};
+  }
+
+  static std::vector<HostIncarnation> All(const Names& names) {
+    std::vector<HostIncarnation> hosts;
+    for (const std::string& name : names) hosts.push_back(Host(name));
+    return hosts;
+  }
+
+  // Runs one side of a network for a time. Hosts of `readers` read `listed`.
+  void Run(const Names& side, const Names& readers, const Names& listed,
+           Duration duration) {
+    const TimePoint end = now_ + duration;
+    for (; now_ < end; now_ += milliseconds(500)) {
+      for (const std::string& name : side) {
+        rings_.at(name).SetMembers(All(side), now_);
+        if (readers.count(name) > 0) {
+          rings_.at(name).NoteListed(All(listed), now_);
+        }
+      }
+      Exchange(side);
+    }
+  }
+
+  void Exchange(const Names& side) {
+    for (const std::string& from : side) {
+      const std::uint64_t ring = rings_.at(from).SupportedRing(now_);
+      for (const std::string& to : side) {
+        if (to != from) rings_.at(to).OnSupport(Host(from), ring, now_);
+      }
+    }
+  }
+
+  bool AnyMajority(const Names& names) {
+    bool any = false;
+    for (const std::string& name : names) {
+      any = any || rings_.at(name).HasMajority(now_);
+    }
+    return any;
+  }
+
+  KeyRing& ring(const std::string& name) { return rings_.at(name); }
+  TimePoint now() const { return now_; }
+
+ private:
+  TimePoint now_{seconds(1000)};
+  std::map<std::string, KeyRing> rings_;
+};
+
+const Hosts::Names kAbc{"a", "b", "c"};
+
+Hosts SettledAbc() {
+  Hosts hosts;
+  hosts.Start(kAbc);
+  hosts.Run(kAbc, kAbc, kAbc, seconds(70));
+  REQUIRE(hosts.AnyMajority(kAbc));
+  return hosts;
+}
+
+TEST_CASE("joiners on one side of a split do not outvote the other side",
+          "[promise-07]") {
+  Hosts hosts = SettledAbc();
+  hosts.Start({"x", "y"});
+  // a and b cannot read the list, so they do not learn of x and y.
+  hosts.Run({"c", "x", "y"}, {"c", "x", "y"}, {"a", "b", "c", "x", "y"},
+            seconds(200));
+  CHECK_FALSE(hosts.AnyMajority({"c", "x", "y"}));
+  hosts.Run({"a", "b"}, {}, {}, seconds(10));
+  CHECK(hosts.AnyMajority({"a", "b"}));
+}
+
+TEST_CASE("a host without a list has no majority", "[promise-07]") {
+  Hosts hosts = SettledAbc();
+  hosts.Start({"x"});
+  hosts.Run({"b", "c", "x"}, {}, {}, seconds(100));
+  const std::uint64_t supported = hosts.ring("b").SupportedRing(hosts.now());
+  CHECK(supported != 0);
+  CHECK(supported == hosts.ring("c").SupportedRing(hosts.now()));
+  CHECK_FALSE(hosts.ring("x").HasMajority(hosts.now()));
+}
+
+TEST_CASE("silence does not shrink the electorate, the list does",
+          "[promise-07]") {
+  Hosts hosts = SettledAbc();
+  hosts.Run({"a"}, {}, {}, seconds(200));
+  CHECK_FALSE(hosts.AnyMajority({"a"}));
+  hosts.Run({"a"}, {"a"}, {"a"}, seconds(1));
+  CHECK(hosts.AnyMajority({"a"}));
+  const KeyVerdict verdict = hosts.ring("a").Judge(kKey, hosts.now());
+  CHECK(std::holds_alternative<NotProven>(verdict));
+}
+
+TEST_CASE("records count only where both hosts have the same ring",
+          "[promise-07]") {
+  Hosts hosts = SettledAbc();
+  hosts.Start({"x"});
+  KeyRing& owner = hosts.ring("a");
+  KeyRing& joiner = hosts.ring("x");
+  const std::vector<HostIncarnation> due{Hosts::Host("x")};
+  owner.SetMembers(Hosts::All({"a", "b", "c", "x"}), hosts.now());
+  joiner.SetMembers(Hosts::All({"a", "b", "x"}), hosts.now());
+  CHECK(owner.HandOverDue() == due);
+  const TimePoint later = hosts.now() + seconds(3);
+  joiner.OnSupport(Hosts::Host("a"), owner.SupportedRing(later), later);
+  CHECK_FALSE(joiner.OnHandOver(Hosts::Host("a"), later));
+  SECTION("they agree") {
+    joiner.SetMembers(Hosts::All({"a", "b", "c", "x"}), later);
+    CHECK(joiner.OnHandOver(Hosts::Host("a"), later));
+    owner.OnHandOverAcked(Hosts::Host("x"));
+    CHECK(owner.HandOverDue().empty());
+  }
+  SECTION("a host is lost during the hand-over") {
+    owner.SetMembers(Hosts::All({"a", "b", "x"}), later);
+    CHECK(owner.HandOverDue().empty());
+  }
+}
+
+TEST_CASE("a host that leaves runs nothing and hands over to all others",
+          "[promise-07]") {
+  Hosts hosts = SettledAbc();
+  for (const std::string& name : kAbc) {
+    KeyRing& ring = hosts.ring(name);
+    ring.Leave(hosts.now());
+    CHECK(ring.HandOverDue().size() == 2);
+    CHECK(ring.SupportedRing(hosts.now()) == 0);
+    const KeyVerdict verdict = ring.Judge(kKey, hosts.now());
+    CHECK(std::holds_alternative<ForwardTo>(verdict));
+  }
+}
+
+}  // namespace
+}  // namespace heatherlatch
