--- a/heatherlatch/membership/membership.cc
+++ b/heatherlatch/membership/membership.cc
@@ -69,16 +69,21 @@
 
   void OnLinkUp(const HostDescription& peer, TimePoint now) {
     if (SamePlace(peer, self_)) return;
-    RetireOthersAtPlace(peer, now);
-    const bool has_left = left_.count(peer.incarnation) > 0;
-    if (!has_left) retired_.erase(peer.incarnation);
+    RemoveOthersAtPlace(peer);
+    linked_.erase(std::remove_if(linked_.begin(), linked_.end(),
+                                 [&](const LinkedPeer& other) {
+                                   return SamePlace(other.description, peer);
+                                 }),
+                  linked_.end());
+    linked_.push_back({peer, now});
     Record(peer, now);
   }
 
   void OnHeartbeat(const HostDescription& from, std::uint64_t revision,
                    TimePoint now) {
     if (SamePlace(from, self_) || IsHeldByAnother(from)) return;
-    if (IsRetired(from.incarnation)) {
+    if (IsLinkedByAnother(from)) return;
+    if (HasLeft(from.incarnation)) {
       RefreshLeaving(from.incarnation, now);
       return;
     }
@@ -88,8 +93,7 @@
   }
 
   void OnLeaving(const HostIncarnation& from, TimePoint now) {
-    left_.insert(from);
-    Retire(from, now);
+    left_[from] = now;
     const auto found = peers_.find(from);
     if (found == peers_.end()) return;
     SetState(MemberState::kLeaving, &found->second);
@@ -104,7 +108,8 @@
     if (now - advanced_at_ > options_.pause_threshold) woke_at_ = now;
     advanced_at_ = std::max(advanced_at_, now);
     ApplySilence(now);
-    ForgetRetired(now);
+    ForgetLinked(now);
+    ForgetLeft(now);
     ForgetWanted(now);
     return std::exchange(changed_, false);
   }
@@ -139,8 +144,14 @@
   }
 
  private:
-  bool IsRetired(const HostIncarnation& incarnation) const {
-    return retired_.count(incarnation) > 0;
+  // An incarnation that a link has shown to be the newest at its place.
+  struct LinkedPeer {
+    HostDescription description;
+    TimePoint last_present;
+  };
+
+  bool HasLeft(const HostIncarnation& incarnation) const {
+    return left_.count(incarnation) > 0;
   }
 
   bool IsHeldByAnother(const HostDescription& from) const {
@@ -150,8 +161,12 @@
     });
   }
 
-  void Retire(const HostIncarnation& incarnation, TimePoint now) {
-    retired_[incarnation] = now;
+  bool IsLinkedByAnother(const HostDescription& from) const {
+    return std::any_of(
+        linked_.begin(), linked_.end(), [&](const LinkedPeer& peer) {
+          return peer.description.incarnation != from.incarnation &&
+                 SamePlace(peer.description, from);
+        });
   }
 
   // Keeps a host that is leaving, but still runs, in the view.
@@ -159,10 +174,10 @@
     const auto found = peers_.find(incarnation);
     if (found == peers_.end()) return;
     found->second.last_heard = std::max(found->second.last_heard, now);
-    Retire(incarnation, now);
+    left_[incarnation] = now;
   }
 
-  void RetireOthersAtPlace(const HostDescription& peer, TimePoint now) {
+  void RemoveOthersAtPlace(const HostDescription& peer) {
     for (auto it = peers_.begin(); it != peers_.end();) {
       const bool replaced = it->first != peer.incarnation &&
                             SamePlace(it->second.description, peer);
@@ -170,7 +185,6 @@
         ++it;
         continue;
       }
-      Retire(it->first, now);
       it = peers_.erase(it);
       changed_ = true;
     }
@@ -183,9 +197,7 @@
       changed_ = true;
       member.description = peer;
       member.last_heard = now;
-      if (left_.count(peer.incarnation) > 0) {
-        member.state = MemberState::kLeaving;
-      }
+      if (HasLeft(peer.incarnation)) member.state = MemberState::kLeaving;
     }
     member.last_heard = std::max(member.last_heard, now);
     if (member.state == MemberState::kSuspected) {
@@ -221,11 +233,20 @@
     }
   }
 
-  void ForgetRetired(TimePoint now) {
-    for (auto it = retired_.begin(); it != retired_.end();) {
-      const bool expired = now - it->second >= options_.retired_memory;
-      if (expired) left_.erase(it->first);
-      it = expired ? retired_.erase(it) : std::next(it);
+  void ForgetLinked(TimePoint now) {
+    for (auto it = linked_.begin(); it != linked_.end();) {
+      if (peers_.count(it->description.incarnation) > 0) {
+        it->last_present = now;
+      }
+      const bool expired = now - it->last_present >= options_.departed_memory;
+      it = expired ? linked_.erase(it) : std::next(it);
+    }
+  }
+
+  void ForgetLeft(TimePoint now) {
+    for (auto it = left_.begin(); it != left_.end();) {
+      const bool expired = now - it->second >= options_.departed_memory;
+      it = expired ? left_.erase(it) : std::next(it);
     }
   }
 
@@ -277,10 +298,9 @@
   TimePoint woke_at_ = TimePoint::min();
   std::vector<ListedHost> listed_;
   std::map<HostIncarnation, Member> peers_;
-  // Incarnations that were replaced or have left, and since when.
-  std::map<HostIncarnation, TimePoint> retired_;
-  // Those of `retired_` that announced their departure.
-  std::set<HostIncarnation> left_;
+  std::vector<LinkedPeer> linked_;
+  // Incarnations that announced their departure, and when they last ran.
+  std::map<HostIncarnation, TimePoint> left_;
   std::map<Endpoint, TimePoint> wanted_;
 };
 
--- a/heatherlatch/membership/membership.h
+++ b/heatherlatch/membership/membership.h
@@ -10,9 +10,9 @@
 // Nonces are random, so they do not tell which incarnation is newer. A link
 // does: it is admitted only after the peer has answered a fresh challenge, so
 // the incarnation whose link came up last is the newest at its place
-// (`OnLinkUp`). A heartbeat keeps an incarnation live and may take a free
-// place, but never displaces a holder, and an incarnation that was replaced or
-// has left does not return by a heartbeat.
+// (`OnLinkUp`). A heartbeat keeps an incarnation live, but never displaces a
+// holder, and it takes a place only while no link has shown another incarnation
+// there within `departed_memory`. An incarnation that has left does not return.
 //
 // After this process was itself paused for longer than `pause_threshold`
 // (`Advance` is called late), every peer gets a fresh allowance before it is
@@ -84,8 +84,9 @@
   Duration suspect_after = std::chrono::milliseconds(1500);
   Duration remove_after = std::chrono::seconds(5);
   Duration pause_threshold = std::chrono::milliseconds(750);
-  // How long a replaced or departed incarnation is remembered.
-  Duration retired_memory = std::chrono::minutes(2);
+  // How long it is remembered which incarnations have left, and which one a
+  // link last showed at a place.
+  Duration departed_memory = std::chrono::minutes(2);
   // Every host links to every other one up to this many hosts in the fleet,
   // and to every host of its region up to this many hosts in the region.
   std::size_t full_mesh_hosts = 24;
