--- a/heatherlatch/peer/messages_test.cc
+++ b/heatherlatch/peer/messages_test.cc
@@ -1,6 +1,10 @@
 #include "heatherlatch/peer/messages.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
+#include <iterator>
+#include <limits>
+#include <random>
 
 #include "heatherlatch/peer/internal/json.h"
 #include "heatherlatch/peer/message_generators_test.h"
@@ -66,5 +70,118 @@
   });
 }
 
+bool IsTyped(const DecodeOutcome& outcome) {
+  if (!outcome.error) return true;
+  const bool names_field =
+      outcome.error->problem == FrameProblem::kMissingField ||
+      outcome.error->problem == FrameProblem::kBadField;
+  return names_field == !outcome.error->field.empty();
+}
+
+// Changes some bytes, and cuts or lengthens the text.
+std::string Mutated(std::string bytes, std::mt19937* random) {
+  const auto below = [&](std::size_t end) { return (*random)() % end; };
+  for (std::size_t i = below(4); i > 0 && !bytes.empty(); --i) {
+    bytes[below(bytes.size())] = static_cast<char>((*random)());
+  }
+  const std::size_t change = below(4);
+  if (change == 0) bytes.resize(below(bytes.size() + 1));
+  if (change == 1) bytes.insert(below(bytes.size() + 1), below(9), '\x9f');
+  return bytes;
+}
+
+TEST_CASE("a frame that is cut short is not CBOR", "[promise-05]") {
+  rc::prop("every proper prefix fails", [](const PeerMessage& message) {
+    const std::string bytes = EncodeFrame(message);
+    const auto size = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    const DecodeOutcome outcome = Decode(bytes.substr(0, size));
+    RC_ASSERT(outcome.error.has_value());
+    RC_ASSERT(outcome.error->problem == FrameProblem::kNotCbor);
+  });
+}
+
+TEST_CASE("a frame without a field, or with a wrong one, names it") {
+  rc::prop("one field changed", [](const PeerMessage& message) {
+    std::string kind;
+    std::string field;
+    const bool remove = *rc::gen::arbitrary<bool>();
+    const std::string bytes = Changed(message, [&](Json* object) {
+      kind = (*object)["t"];
+      auto entry = object->begin();
+      std::advance(entry, *rc::gen::inRange<std::size_t>(1, object->size()));
+      field = entry.key();
+      if (remove) {
+        object->erase(field);
+      } else {
+        *entry = nullptr;
+      }
+    });
+    const DecodeOutcome outcome = Decode(bytes);
+    if (remove && !outcome.error) return;  // An optional field.
+    RC_ASSERT(outcome.error.has_value());
+    RC_ASSERT(outcome.error->problem ==
+              (remove ? FrameProblem::kMissingField : FrameProblem::kBadField));
+    RC_ASSERT(outcome.error->kind == kind);
+    RC_ASSERT(outcome.error->field == field);
+  });
+}
+
+TEST_CASE("the error names a field inside a field") {
+  const std::string bytes = Changed(
+      AcquireSlot{}, [](Json* object) { (*object)["group"].erase("zone"); });
+  const DecodeOutcome outcome = Decode(bytes);
+  REQUIRE(outcome.error.has_value());
+  CHECK(outcome.error->field == "group.zone");
+  CHECK(ToString(*outcome.error) ==
+        "field \"group.zone\" in frame of kind \"AcquireSlot\" is missing");
+}
+
+TEST_CASE("numbers outside their range are wrong") {
+  const auto with = [](const char* field, const Json& value) {
+    return Decode(Changed(AcquireSlot{},
+                          [&](Json* object) { (*object)[field] = value; }));
+  };
+  CHECK(with("weight", 1LL << 40).error.has_value());
+  CHECK(with("call", -1).error.has_value());
+  CHECK(with("left_us", std::numeric_limits<std::int64_t>::max())
+            .error.has_value());
+  CHECK(with("left_us", -5).message.has_value());
+}
+
+TEST_CASE("frames that are too large, deep or full are refused") {
+  const std::string deep(kMaxFrameBytes, '\x81');
+  const std::string full = std::string("\x9a\x00\x3f\xff\xfb", 5) +
+                           std::string(kMaxFrameBytes - 5, '\x80');
+  const std::string huge_claim("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff", 9);
+  for (const std::string& bytes : {deep, full, huge_claim}) {
+    const DecodeOutcome outcome = Decode(bytes);
+    REQUIRE(outcome.error.has_value());
+    CHECK(outcome.error->problem == FrameProblem::kNotCbor);
+  }
+  const DecodeOutcome outcome = Decode(std::string(kMaxFrameBytes + 1, 'x'));
+  REQUIRE(outcome.error.has_value());
+  CHECK(outcome.error->problem == FrameProblem::kTooLarge);
+}
+
+// Run as the test `peer_fuzz`; the seeds are fixed.
+TEST_CASE("mutated frames never crash the decoder", "[.][fuzz]") {
+  constexpr int kSeeds = 3000;
+  constexpr int kMutations = 60;
+  const auto messages = rc::gen::arbitrary<PeerMessage>();
+  int errors = 0;
+  for (int seed = 0; seed < kSeeds; ++seed) {
+    const std::string bytes =
+        EncodeFrame(messages(rc::Random(seed), seed % 100).value());
+    std::mt19937 random(seed);
+    for (int i = 0; i < kMutations; ++i) {
+      const DecodeOutcome outcome = Decode(Mutated(bytes, &random));
+      REQUIRE(IsTyped(outcome));
+      if (outcome.message) EncodeFrame(*outcome.message);
+      if (outcome.error) ++errors;
+    }
+  }
+  CHECK(errors > kSeeds);
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/peer/transport.cc
+++ b/heatherlatch/peer/transport.cc
@@ -171,6 +171,7 @@
   void EndStopIfIdle();
 
   LinkPtr FindAdmitted(const HostIncarnation& peer) const;
+  void AddLink(const LinkPtr& link);
   std::vector<LinkPtr> AllLinks() const;
   std::size_t CountUnproven() const;
 
@@ -202,6 +203,7 @@
   std::atomic<std::uint64_t> bytes_received_{0};
   std::atomic<std::uint64_t> messages_sent_{0};
   std::atomic<std::uint64_t> messages_received_{0};
+  std::atomic<std::uint64_t> connections_{0};
 };
 
 // Set-up.
@@ -275,7 +277,7 @@
   connection->link =
       std::make_shared<Link>(connection, LinkRole::kAccepting,
                              RemoteOf(connection), SteadyClock::now());
-  links_.insert(connection->link);
+  AddLink(connection->link);
 }
 
 void PeerTransport::Impl::OnOpen(const websocketpp::connection_hdl& handle) {
@@ -319,6 +321,7 @@
   if (!connection || !connection->link) return;
   const LinkPtr link = std::exchange(connection->link, nullptr);
   links_.erase(link);
+  connections_ = links_.size();
   const LinkLossReason reason = EndReason(link);
   if (link->admitted()) {
     Uninstall(link, reason);
@@ -535,7 +538,7 @@
   if (error) return RetryLater(endpoint);
   connection->link = std::make_shared<Link>(connection, LinkRole::kConnecting,
                                             endpoint, SteadyClock::now());
-  links_.insert(connection->link);
+  AddLink(connection->link);
   client_.connect(connection);
 }
 
@@ -652,6 +655,11 @@
   return found == admitted_.end() ? nullptr : found->second;
 }
 
+void PeerTransport::Impl::AddLink(const LinkPtr& link) {
+  links_.insert(link);
+  connections_ = links_.size();
+}
+
 std::vector<LinkPtr> PeerTransport::Impl::AllLinks() const {
   return {links_.begin(), links_.end()};
 }
@@ -671,7 +679,8 @@
 }
 
 TransportCounters PeerTransport::Impl::Counters() const {
-  return {bytes_sent_, bytes_received_, messages_sent_, messages_received_};
+  return {bytes_sent_, bytes_received_, messages_sent_, messages_received_,
+          connections_};
 }
 
 PeerTransport::PeerTransport(HostDescription self, TransportOptions options,
--- a/heatherlatch/peer/transport.h
+++ b/heatherlatch/peer/transport.h
@@ -94,6 +94,7 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t messages_sent = 0;
   std::uint64_t messages_received = 0;
+  std::uint64_t connections = 0;  // Open now, admitted or not.
 };
 
 class PeerTransport {
--- a/heatherlatch/peer/transport_test.cc
+++ b/heatherlatch/peer/transport_test.cc
@@ -1,139 +1,214 @@
 #include "heatherlatch/peer/transport.h"
 
-#include <catch2/catch.hpp>
-#include <condition_variable>
-#include <functional>
-#include <mutex>
-#include <thread>
+#include <algorithm>
+#include <atomic>
+#include <map>
+
+#include "heatherlatch/peer/peer_key.h"
+#include "heatherlatch/peer/test_host_test.h"
 
 namespace heatherlatch {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
+using peer_testing::Eventually;
+using peer_testing::TestHost;
 
-constexpr Duration kPatience = seconds(30);
+bool Linked(const TestHost& a, const TestHost& b) {
+  return a.IsLinkedTo(b) && b.IsLinkedTo(a);
+}
 
-// Waits until `condition` holds, or gives up after `kPatience`.
-bool Eventually(const std::function<bool()>& condition) {
-  const TimePoint give_up = SteadyClock::now() + kPatience;
-  while (SteadyClock::now() < give_up) {
-    if (condition()) return true;
-    std::this_thread::sleep_for(milliseconds(5));
-  }
-  return condition();
+// @return whether a message gets through in both directions
+bool ExchangeWorks(TestHost& a, TestHost& b) {
+  const std::size_t before_a = a.Messages().size();
+  const std::size_t before_b = b.Messages().size();
+  a.transport().Send(b.incarnation(), CancelAcquire{1});
+  b.transport().Send(a.incarnation(), CancelAcquire{2});
+  return Eventually([&] {
+    return a.Messages().size() > before_a && b.Messages().size() > before_b;
+  });
 }
 
-struct RefusedLink {
-  LinkLossReason reason;
-  std::optional<FrameError> error;
-};
-
-// A transport that listens on a free port and records what its handlers see.
-class TestHost {
- public:
-  explicit TestHost(const std::string& name, std::uint64_t nonce = 1,
-                    TransportOptions options = DefaultOptions()) {
-    self_.incarnation = {HostName(name), nonce};
-    self_.region = RegionName("r1");
-    self_.zone = ZoneName("r1-a");
-    self_.peer_endpoint = options.listen;
-    TransportHandlers handlers;
-    handlers.on_link_up = [this](const HostDescription& peer) {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      ups_.push_back(peer.incarnation);
-    };
-    handlers.on_link_down = [this](const HostIncarnation& peer,
-                                   LinkLossReason reason) {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      downs_.emplace_back(peer, reason);
-    };
-    handlers.on_message = [this](const HostIncarnation& peer,
-                                 PeerMessage message) {
-      if (on_message_) on_message_(peer, message);
-      const std::lock_guard<std::mutex> lock(mutex_);
-      messages_.push_back(std::move(message));
-    };
-    handlers.on_refused = [this](const Endpoint&, LinkLossReason reason,
-                                 const FrameError* error) {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      refused_.push_back({reason, error == nullptr
-                                      ? std::nullopt
-                                      : std::optional<FrameError>(*error)});
-    };
-    transport_ =
-        std::make_unique<PeerTransport>(self_, std::move(options), handlers);
-  }
+TransportOptions WithKeys(std::vector<std::string> keys) {
+  TransportOptions options = TestHost::DefaultOptions();
+  options.keys = std::move(keys);
+  return options;
+}
 
-  static TransportOptions DefaultOptions() {
-    TransportOptions options;
-    options.listen = {"127.0.0.1", 0};
-    options.keys = {"shared key"};
-    options.reconnect_max = milliseconds(200);
-    return options;
-  }
+TEST_CASE("two hosts link up and exchange messages") {
+  TestHost a("a");
+  TestHost b("b");
+  a.Start();
+  b.Start();
+  a.ConnectTo(b);
+  REQUIRE(Eventually([&] { return Linked(a, b); }));
+  CHECK(ExchangeWorks(a, b));
+  CHECK(a.transport().Send({HostName("c"), 1}, CancelAcquire{}) ==
+        SendResult::kNoLink);
+  ConfigurationOffer offer;
+  offer.document.yaml = std::string(kMaxFrameBytes, 'x');
+  CHECK(a.transport().Send(b.incarnation(), offer) == SendResult::kTooLarge);
+  offer.document.yaml = std::string(kMaxFrameBytes - 100, 'x');
+  CHECK(a.transport().Send(b.incarnation(), offer) == SendResult::kSent);
+  CHECK(Eventually([&] { return b.Messages().size() == 2; }));
+}
 
-  TestHost& Start() {
-    const bool started = boost::leaf::try_handle_all(
-        [&]() -> Result<bool> {
-          BOOST_LEAF_CHECK(transport_->Start());
-          return true;
-        },
-        [] { return false; });
-    REQUIRE(started);
-    return *this;
+TEST_CASE("where both connect at once, one link is kept") {
+  for (int round = 0; round < 10; ++round) {
+    TestHost a("a");
+    TestHost b("b");
+    a.Start();
+    b.Start();
+    a.ConnectTo(b);
+    b.ConnectTo(a);
+    REQUIRE(Eventually([&] {
+      return Linked(a, b) && a.transport().Counters().connections == 1 &&
+             b.transport().Counters().connections == 1;
+    }));
+    CHECK(ExchangeWorks(a, b));
+    CHECK(a.Ups().size() == a.Downs().size() + 1);
+    CHECK(b.Ups().size() == b.Downs().size() + 1);
   }
+}
 
-  void ConnectTo(const TestHost& other) {
-    transport_->SetTargets({other.endpoint()});
-  }
-  Endpoint endpoint() const { return transport_->ListenEndpoint(); }
-  const HostIncarnation& incarnation() const { return self_.incarnation; }
-  PeerTransport& transport() { return *transport_; }
-  void OnMessage(
-      std::function<void(const HostIncarnation&, const PeerMessage&)> handler) {
-    on_message_ = std::move(handler);
-  }
+TEST_CASE("a host without the key is refused") {
+  TestHost a("a", 1, WithKeys({"one key"}));
+  TestHost b("b", 1, WithKeys({"another key"}));
+  a.Start();
+  b.Start();
+  a.ConnectTo(b);
+  REQUIRE(Eventually([&] { return !a.Refused().empty(); }));
+  REQUIRE(Eventually([&] { return !b.Refused().empty(); }));
+  CHECK(a.Refused().front().reason == LinkLossReason::kKeyNotProven);
+  CHECK(b.Refused().front().reason == LinkLossReason::kKeyNotProven);
+  CHECK(a.Ups().empty());
+  CHECK(b.Ups().empty());
+}
 
-  bool IsLinkedTo(const TestHost& other) const {
-    return transport_->LinkedPeers() ==
-           std::vector<HostIncarnation>{other.incarnation()};
-  }
-  std::vector<RefusedLink> Refused() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return refused_;
-  }
-  std::vector<PeerMessage> Messages() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return messages_;
-  }
-  std::vector<std::pair<HostIncarnation, LinkLossReason>> Downs() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return downs_;
+TEST_CASE("a key is rotated host by host") {
+  const std::vector<std::vector<std::string>> steps = {
+      {"old"}, {"new", "old"}, {"new"}};
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    for (std::size_t j = 0; j < steps.size(); ++j) {
+      TestHost a("a", 1, WithKeys(steps[i]));
+      TestHost b("b", 1, WithKeys(steps[j]));
+      a.Start();
+      b.Start();
+      a.ConnectTo(b);
+      const bool neighbours = i + 1 >= j && j + 1 >= i;
+      if (neighbours) {
+        CHECK(Eventually([&] { return Linked(a, b); }));
+      } else {
+        CHECK(Eventually([&] { return !a.Refused().empty(); }));
+        CHECK(a.Ups().empty());
+      }
+    }
   }
+}
 
- private:
-  HostDescription self_;
-  mutable std::mutex mutex_;
-  std::vector<HostIncarnation> ups_;
-  std::vector<std::pair<HostIncarnation, LinkLossReason>> downs_;
-  std::vector<PeerMessage> messages_;
-  std::vector<RefusedLink> refused_;
-  std::function<void(const HostIncarnation&, const PeerMessage&)> on_message_;
-  std::unique_ptr<PeerTransport> transport_;
-};
+TEST_CASE("a proof is worth nothing on another link") {
+  const std::vector<std::string> keys = {"key"};
+  const std::string nonce_a = MakePeerNonce();
+  const std::string nonce_b = MakePeerNonce();
+  KeyProofInput input{LinkRole::kConnecting, nonce_a, nonce_b, {}};
+  const std::string proof = MakeKeyProof(keys, input);
+  CHECK(CheckKeyProof(keys, input, proof));
+  CHECK_FALSE(CheckKeyProof(keys, input, ""));
+  CHECK_FALSE(CheckKeyProof(keys, input, proof.substr(1)));
+  KeyProofInput other = input;
+  other.role = LinkRole::kAccepting;
+  CHECK_FALSE(CheckKeyProof(keys, other, proof));
+  other = input;
+  std::swap(other.own_nonce, other.peer_nonce);
+  CHECK_FALSE(CheckKeyProof(keys, other, proof));
+  other = input;
+  other.description.region = RegionName("elsewhere");
+  CHECK_FALSE(CheckKeyProof(keys, other, proof));
+}
 
-TEST_CASE("two hosts link up and exchange messages") {
+TEST_CASE("a peer that restarts is linked to as another incarnation",
+          "[promise-07]") {
+  TestHost a("a");
+  a.Start();
+  auto first = std::make_unique<TestHost>("b", 1);
+  first->Start();
+  a.ConnectTo(*first);
+  REQUIRE(Eventually([&] { return Linked(a, *first); }));
+  TransportOptions same_place = TestHost::DefaultOptions();
+  same_place.listen = first->endpoint();
+  first.reset();
+  TestHost second("b", 2, same_place);
+  second.Start();
+  REQUIRE(Eventually([&] { return Linked(a, second); }));
+  REQUIRE(a.Downs().size() == 1);
+  CHECK(a.Downs().front().first.nonce == 1);
+  CHECK(ExchangeWorks(a, second));
+}
+
+TEST_CASE("a stop sends what is queued before it closes the links",
+          "[promise-09]") {
+  TestHost a("a");
+  TestHost b("b");
+  a.Start();
+  b.Start();
+  a.ConnectTo(b);
+  REQUIRE(Eventually([&] { return Linked(a, b); }));
+  constexpr int kMessages = 500;
+  for (int i = 0; i < kMessages; ++i) {
+    a.transport().Send(b.incarnation(), KeyHandOver{a.incarnation(), {}, true});
+  }
+  a.transport().Send(b.incarnation(), Leaving{a.incarnation()});
+  a.transport().Stop();
+  REQUIRE(Eventually([&] { return !b.Downs().empty(); }));
+  CHECK(b.Downs().front().second == LinkLossReason::kStopped);
+  REQUIRE(b.Messages().size() == kMessages + 1);
+  CHECK(std::holds_alternative<Leaving>(b.Messages().back()));
+}
+
+TEST_CASE("messages of many threads arrive once and in order", "[promise-05]") {
+  constexpr int kThreads = 6;
+  constexpr int kMessages = 400;
   TestHost a("a");
   TestHost b("b");
   a.Start();
   b.Start();
   a.ConnectTo(b);
-  REQUIRE(Eventually([&] { return a.IsLinkedTo(b) && b.IsLinkedTo(a); }));
-  CHECK(a.transport().Send(b.incarnation(), CancelAcquire{7}) ==
-        SendResult::kSent);
-  REQUIRE(Eventually([&] { return b.Messages().size() == 1; }));
-  CHECK(std::get<CancelAcquire>(b.Messages().front()).call == 7);
+  REQUIRE(Eventually([&] { return Linked(a, b); }));
+  std::vector<std::thread> threads;
+  for (int thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&a, &b, thread] {
+      for (std::uint64_t i = 0; i < kMessages; ++i) {
+        a.transport().Send(b.incarnation(),
+                           CancelAcquire{thread * 1000000ULL + i});
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  REQUIRE(
+      Eventually([&] { return b.Messages().size() == kThreads * kMessages; }));
+  std::map<std::uint64_t, std::uint64_t> next;
+  for (const PeerMessage& message : b.Messages()) {
+    const CallId call = std::get<CancelAcquire>(message).call;
+    CHECK(next[call / 1000000]++ == call % 1000000);
+  }
+}
+
+TEST_CASE("a port that is taken is a typed error") {
+  TestHost a("a");
+  a.Start();
+  TransportOptions options = TestHost::DefaultOptions();
+  options.listen = a.endpoint();
+  HostDescription self;
+  self.incarnation = {HostName("b"), 1};
+  PeerTransport transport(self, options, {});
+  bool failed = false;
+  boost::leaf::try_handle_all([&] { return transport.Start(); },
+                              [&](const TransportError& error) {
+                                failed = error.problem ==
+                                             TransportProblem::kListenFailed &&
+                                         error.endpoint == options.listen;
+                              },
+                              [] {});
+  CHECK(failed);
 }
 
 }  // namespace
