--- a/heatherlatch/peer/transport.cc
+++ b/heatherlatch/peer/transport.cc
@@ -79,6 +79,24 @@
          a.peer_endpoint == b.peer_endpoint;
 }
 
+// Heartbeats carry their sender only where it is not the host at the end of the
+// link, whose description both ends know.
+std::string EncodeFor(const HostDescription& self, const PeerMessage& message) {
+  const auto* heartbeat = std::get_if<Heartbeat>(&message);
+  const bool own =
+      heartbeat != nullptr && heartbeat->from.incarnation == self.incarnation;
+  if (!own) return EncodeFrame(message);
+  Heartbeat shortened = *heartbeat;
+  shortened.from = HostDescription{};
+  return EncodeFrame(shortened);
+}
+
+void RestoreSender(const HostDescription& peer, PeerMessage* message) {
+  auto* heartbeat = std::get_if<Heartbeat>(message);
+  if (heartbeat == nullptr) return;
+  if (heartbeat->from.incarnation.host.empty()) heartbeat->from = peer;
+}
+
 }  // namespace
 
 class PeerTransport::Impl {
@@ -171,6 +189,7 @@
   void EndStopIfIdle();
 
   LinkPtr FindAdmitted(const HostIncarnation& peer) const;
+  void AddLink(const LinkPtr& link);
   std::vector<LinkPtr> AllLinks() const;
   std::size_t CountUnproven() const;
 
@@ -202,6 +221,7 @@
   std::atomic<std::uint64_t> bytes_received_{0};
   std::atomic<std::uint64_t> messages_sent_{0};
   std::atomic<std::uint64_t> messages_received_{0};
+  std::atomic<std::uint64_t> connections_{0};
 };
 
 // Set-up.
@@ -275,7 +295,7 @@
   connection->link =
       std::make_shared<Link>(connection, LinkRole::kAccepting,
                              RemoteOf(connection), SteadyClock::now());
-  links_.insert(connection->link);
+  AddLink(connection->link);
 }
 
 void PeerTransport::Impl::OnOpen(const websocketpp::connection_hdl& handle) {
@@ -301,6 +321,7 @@
         if (!link->admitted()) {
           HandleUnproven(link, std::move(*message));
         } else if (handlers_.on_message) {
+          RestoreSender(link->peer(), &*message);
           handlers_.on_message(link->peer().incarnation, std::move(*message));
         }
         return {};
@@ -319,6 +340,7 @@
   if (!connection || !connection->link) return;
   const LinkPtr link = std::exchange(connection->link, nullptr);
   links_.erase(link);
+  connections_ = links_.size();
   const LinkLossReason reason = EndReason(link);
   if (link->admitted()) {
     Uninstall(link, reason);
@@ -535,7 +557,7 @@
   if (error) return RetryLater(endpoint);
   connection->link = std::make_shared<Link>(connection, LinkRole::kConnecting,
                                             endpoint, SteadyClock::now());
-  links_.insert(connection->link);
+  AddLink(connection->link);
   client_.connect(connection);
 }
 
@@ -555,7 +577,7 @@
                                      const PeerMessage& message) {
   const LinkPtr link = FindAdmitted(peer);
   if (!link) return SendResult::kNoLink;
-  std::string payload = EncodeFrame(message);
+  std::string payload = EncodeFor(self_, message);
   const std::size_t size = payload.size();
   if (size > kMaxFrameBytes) return SendResult::kTooLarge;
   if (!link->TryReserve(size, options_.max_unsent_bytes)) {
@@ -652,6 +674,11 @@
   return found == admitted_.end() ? nullptr : found->second;
 }
 
+void PeerTransport::Impl::AddLink(const LinkPtr& link) {
+  links_.insert(link);
+  connections_ = links_.size();
+}
+
 std::vector<LinkPtr> PeerTransport::Impl::AllLinks() const {
   return {links_.begin(), links_.end()};
 }
@@ -671,7 +698,8 @@
 }
 
 TransportCounters PeerTransport::Impl::Counters() const {
-  return {bytes_sent_, bytes_received_, messages_sent_, messages_received_};
+  return {bytes_sent_, bytes_received_, messages_sent_, messages_received_,
+          connections_};
 }
 
 PeerTransport::PeerTransport(HostDescription self, TransportOptions options,
