--- a/heatherlatch/platform/platform_client_test.cc
+++ b/heatherlatch/platform/platform_client_test.cc
@@ -120,6 +120,18 @@
   CHECK(client.WatchConfiguration(0, kLongWait).value()->revision == 1);
 }
 
+TEST_CASE("the stand-in takes a zone out of service") {
+  RunningPlatform platform;
+  PlatformClient client(platform.options.listen, &Never);
+  CHECK_FALSE(platform.service->PublishZone("r1-a", false).has_value());
+  platform.service->Publish("zones: [{name: r1-a, region: r1}]");
+  CHECK_FALSE(platform.service->PublishZone("r1-b", false).has_value());
+  CHECK(platform.service->PublishZone("r1-a", false) == 2u);
+  const auto document = client.WatchConfiguration(1, kLongWait).value();
+  CHECK(document->yaml ==
+        "zones: [{name: r1-a, region: r1, in_service: false}]");
+}
+
 TEST_CASE("the list is read") {
   RunningPlatform platform;
   PlatformClient client(platform.options.listen, &Never);
--- a/standins/platform/platform_service.cc
+++ b/standins/platform/platform_service.cc
@@ -1,5 +1,7 @@
 #include "standins/platform/platform_service.h"
 
+#include <yaml-cpp/yaml.h>
+
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -22,6 +24,22 @@
   return number;
 }
 
+// @return the document with the zone changed; none where it has no such zone
+std::optional<std::string> WithZone(const std::string& yaml,
+                                    const std::string& zone, bool in_service) {
+  try {
+    YAML::Node root = YAML::Load(yaml);
+    for (YAML::Node node : root["zones"]) {
+      if (node["name"].as<std::string>("") != zone) continue;
+      node["in_service"] = in_service;
+      return YAML::Dump(root);
+    }
+  } catch (const YAML::Exception&) {
+    // A document that is not YAML has no zones.
+  }
+  return std::nullopt;
+}
+
 HttpAnswer JsonAnswer(const Json& json) {
   return {200, {{"Content-Type", "application/json"}}, json.dump(), nullptr};
 }
@@ -50,6 +68,18 @@
   return revision;
 }
 
+std::optional<std::uint64_t> PlatformService::PublishZone(
+    const std::string& zone, bool in_service) {
+  std::string newest;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!documents_.empty()) newest = documents_.rbegin()->second;
+  }
+  const auto changed = WithZone(newest, zone, in_service);
+  if (!changed) return std::nullopt;
+  return Publish(*changed);
+}
+
 void PlatformService::SetList(std::string json) {
   const std::lock_guard<std::mutex> lock(mutex_);
   lists_.push_back({SteadyClock::now(), std::move(json)});
@@ -166,6 +196,7 @@
   const std::string call = request.method + " " + request.path;
   if (call == "GET /standin/calls") return CallsAnswer();
   if (call == "POST /standin/fault") return HandleFault(request);
+  if (call == "POST /standin/zone") return HandleZone(request);
   if (call == "POST /standin/configuration") {
     return JsonAnswer({{"revision", Publish(std::string(request.body))}});
   }
@@ -195,6 +226,19 @@
   return JsonAnswer(Json::object());
 }
 
+HttpAnswer PlatformService::HandleZone(const HttpRequest& request) {
+  const Json json = Json::parse(request.body, nullptr, false);
+  if (!json.is_object()) return Problem(400, "body is not a JSON object");
+  try {
+    const auto zone = json.at("name").get<std::string>();
+    const auto revision = PublishZone(zone, json.at("in_service").get<bool>());
+    if (!revision) return Problem(404, "zone \"" + zone + "\" does not exist");
+    return JsonAnswer({{"revision", *revision}});
+  } catch (const Json::exception& error) {
+    return Problem(400, error.what());
+  }
+}
+
 HttpAnswer PlatformService::CallsAnswer() const {
   const PlatformCalls calls = Calls();
   return JsonAnswer({{"configuration_reads", calls.configuration_reads},
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -62,6 +62,11 @@
   // @return the revision
   std::uint64_t Publish(std::string yaml);
 
+  // Publishes the newest document again with a zone in or out of service.
+  // @return the revision; none where no document has that zone
+  std::optional<std::uint64_t> PublishZone(const std::string& zone,
+                                           bool in_service);
+
   // Replaces the JSON text that GET /v1/hosts answers.
   void SetList(std::string json);
 
@@ -80,6 +85,7 @@
   HttpAnswer ReadList();
   HttpAnswer HandleControl(const HttpRequest& request);
   HttpAnswer HandleFault(const HttpRequest& request);
+  HttpAnswer HandleZone(const HttpRequest& request);
   HttpAnswer CallsAnswer() const;
 
   bool TakeRead(bool configuration, TimePoint now);
