--- a/heatherlatch/telemetry/metrics.cc
+++ b/heatherlatch/telemetry/metrics.cc
@@ -106,8 +106,57 @@
 
 }  // namespace
 
+Counter& HostCounter(Registry* registry, const char* name, const char* help) {
+  return CounterFamily(registry, name, help).Add({});
+}
+Gauge& HostGauge(Registry* registry, const char* name, const char* help) {
+  return GaugeFamily(registry, name, help).Add({});
+}
+
+// Metrics without labels.
+struct HostMetrics {
+  explicit HostMetrics(Registry* registry)
+      : forwarded(
+            HostCounter(registry, "heatherlatch_requests_forwarded_total",
+                        "Requests passed to the host that may run them.")),
+        retries(HostCounter(registry, "heatherlatch_retries_total",
+                            "Requests placed again after a server did not run "
+                            "them.")),
+        probes(HostCounter(registry, "heatherlatch_probes_total",
+                           "Health probes sent to backend servers.")),
+        probe_time(
+            HostCounter(registry, "heatherlatch_probe_server_seconds_total",
+                        "Time of backend servers that health probes took.")),
+        revision(
+            HostGauge(registry, "heatherlatch_configuration_revision",
+                      "Revision of the set of objects in force; 0 if none.")),
+        read_age(
+            HostGauge(registry, "heatherlatch_configuration_read_age_seconds",
+                      "Time since the configuration service was last read.")),
+        peers_linked(HostGauge(registry, "heatherlatch_peers_linked",
+                               "Entry hosts to which a link is up.")),
+        peers_live(HostGauge(registry, "heatherlatch_peers_live",
+                             "Other entry hosts whose heartbeats arrive.")),
+        key_ring_majority(
+            HostGauge(registry, "heatherlatch_key_ring_majority",
+                      "1 while a majority supports the key ring, else "
+                      "0.")) {}
+
+  Counter& forwarded;
+  Counter& retries;
+  Counter& probes;
+  Counter& probe_time;
+  Gauge& revision;
+  Gauge& read_age;
+  Gauge& peers_linked;
+  Gauge& peers_live;
+  Gauge& key_ring_majority;
+};
+
 class Metrics::Impl {
  public:
+  HostMetrics& Host() { return host_; }
+
   ServiceMetrics& OfService(const ServiceName& service) {
     return services_.Get(service, [&] { return MakeService(service.str()); });
   }
@@ -117,15 +166,13 @@
   }
 
   Counter& Refused(NotRunReason reason) {
-    return *refused_by_reason_.Get(reason, [&] {
-      return &refused_.Add({{"reason", std::string(ToString(reason))}});
-    });
+    return *refused_by_reason_.Get(
+        reason, [&] { return &refused_.Add(ReasonLabel(reason)); });
   }
 
   Counter& UnknownOutcome(UnknownReason reason) {
-    return *unknown_by_reason_.Get(reason, [&] {
-      return &unknown_.Add({{"reason", std::string(ToString(reason))}});
-    });
+    return *unknown_by_reason_.Get(
+        reason, [&] { return &unknown_.Add(ReasonLabel(reason)); });
   }
 
   Counter& CrossRegion(std::string from, std::string to) {
@@ -147,6 +194,11 @@
   }
 
  private:
+  template <typename Reason>
+  static prometheus::Labels ReasonLabel(Reason reason) {
+    return {{"reason", std::string(ToString(reason))}};
+  }
+
   ServiceMetrics MakeService(const std::string& service) {
     ServiceMetrics metrics{};
     const std::array<Outcome, 3> outcomes = {NotRun{}, Ran{}, Unknown{}};
@@ -165,6 +217,7 @@
   }
 
   Registry registry_;
+  HostMetrics host_{&registry_};
   Family<Counter>& requests_ =
       CounterFamily(&registry_, "heatherlatch_requests_total",
                     "Requests of callers that ended, by service and outcome.");
@@ -204,41 +257,6 @@
   std::mutex peer_traffic_mutex_;
   RunningTotal peer_sent_{peer_bytes_.Add({{"direction", "sent"}})};
   RunningTotal peer_received_{peer_bytes_.Add({{"direction", "received"}})};
-
- public:
-  Counter& forwarded_ =
-      CounterFamily(&registry_, "heatherlatch_requests_forwarded_total",
-                    "Requests passed to the host that may run them.")
-          .Add({});
-  Counter& retries_ =
-      CounterFamily(&registry_, "heatherlatch_retries_total",
-                    "Requests placed again after a server did not run them.")
-          .Add({});
-  Counter& probes_ = CounterFamily(&registry_, "heatherlatch_probes_total",
-                                   "Health probes sent to backend servers.")
-                         .Add({});
-  Counter& probe_time_ =
-      CounterFamily(&registry_, "heatherlatch_probe_server_seconds_total",
-                    "Time of backend servers that health probes took.")
-          .Add({});
-  Gauge& revision_ =
-      GaugeFamily(&registry_, "heatherlatch_configuration_revision",
-                  "Revision of the set of objects in force; 0 if none.")
-          .Add({});
-  Gauge& read_age_ =
-      GaugeFamily(&registry_, "heatherlatch_configuration_read_age_seconds",
-                  "Time since the configuration service was last read.")
-          .Add({});
-  Gauge& peers_linked_ = GaugeFamily(&registry_, "heatherlatch_peers_linked",
-                                     "Entry hosts to which a link is up.")
-                             .Add({});
-  Gauge& peers_live_ = GaugeFamily(&registry_, "heatherlatch_peers_live",
-                                   "Other entry hosts whose heartbeats arrive.")
-                           .Add({});
-  Gauge& key_ring_majority_ =
-      GaugeFamily(&registry_, "heatherlatch_key_ring_majority",
-                  "1 while a majority supports the key ring, else 0.")
-          .Add({});
 };
 
 Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
@@ -259,13 +277,13 @@
   impl_->Refused(reason).Increment();
 }
 
-void Metrics::RequestForwarded() { impl_->forwarded_.Increment(); }
+void Metrics::RequestForwarded() { impl_->Host().forwarded.Increment(); }
 
-void Metrics::Retried() { impl_->retries_.Increment(); }
+void Metrics::Retried() { impl_->Host().retries.Increment(); }
 
 void Metrics::ProbeSent(Duration server_time) {
-  impl_->probes_.Increment();
-  impl_->probe_time_.Increment(ToSeconds(server_time));
+  impl_->Host().probes.Increment();
+  impl_->Host().probe_time.Increment(ToSeconds(server_time));
 }
 
 void Metrics::SetSlots(std::string_view group, int usable, int granted,
@@ -278,17 +296,17 @@
 
 void Metrics::SetConfiguration(std::uint64_t revision,
                                Duration since_last_read) {
-  impl_->revision_.Set(static_cast<double>(revision));
-  impl_->read_age_.Set(ToSeconds(since_last_read));
+  impl_->Host().revision.Set(static_cast<double>(revision));
+  impl_->Host().read_age.Set(ToSeconds(since_last_read));
 }
 
 void Metrics::SetPeers(int linked, int live) {
-  impl_->peers_linked_.Set(linked);
-  impl_->peers_live_.Set(live);
+  impl_->Host().peers_linked.Set(linked);
+  impl_->Host().peers_live.Set(live);
 }
 
 void Metrics::SetKeyRingMajority(bool held) {
-  impl_->key_ring_majority_.Set(held ? 1 : 0);
+  impl_->Host().key_ring_majority.Set(held ? 1 : 0);
 }
 
 void Metrics::SetPeerTraffic(std::uint64_t bytes_sent,
