--- a/heatherlatch/yaml/document.cc
+++ b/heatherlatch/yaml/document.cc
@@ -58,6 +58,14 @@
   int documents_ = 0;
 };
 
+// @return whether the text may hold an anchor, an alias or a second document;
+//     most texts do not, so they need not be parsed twice
+bool NeedsScan(std::string_view text) {
+  return text.find_first_of("&*") != std::string_view::npos ||
+         text.find("---") != std::string_view::npos ||
+         text.find("...") != std::string_view::npos;
+}
+
 // Parses every document of the text without building nodes.
 void ScanShape(const std::string& text, std::vector<Finding>* findings) {
   std::istringstream input(text);
@@ -84,7 +92,7 @@
   const std::string text(yaml);
   YAML::Node root;
   try {
-    ScanShape(text, findings);
+    if (NeedsScan(text)) ScanShape(text, findings);
     if (findings->size() > findings_before) return std::nullopt;
     root = YAML::Load(text);
   } catch (const YAML::Exception& error) {
