--- a/heatherlatch/objects/internal/fields.cc
+++ b/heatherlatch/objects/internal/fields.cc
@@ -1,20 +1,11 @@
 #include "heatherlatch/objects/internal/fields.h"
 
-#include <charconv>
-
 #include "heatherlatch/objects/internal/labels.h"
 #include "heatherlatch/yaml/units.h"
 
 namespace heatherlatch::internal {
 namespace {
 
-// @return the shortest text that stands for exactly this number
-std::string FormatNumber(double value) {
-  char text[32];
-  const auto result = std::to_chars(text, text + sizeof(text), value);
-  return std::string(text, result.ptr);
-}
-
 std::string FormatBoolean(bool value) { return value ? "true" : "false"; }
 
 std::string FormatRegions(const std::vector<RegionName>& regions) {
--- a/heatherlatch/yaml/mapping_reader.cc
+++ b/heatherlatch/yaml/mapping_reader.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <set>
-#include <sstream>
 
 #include "heatherlatch/yaml/closest_name.h"
 #include "heatherlatch/yaml/document.h"
@@ -36,12 +35,6 @@
          std::all_of(text.begin(), text.end(), IsNameCharacter);
 }
 
-std::string FormatNumber(double value) {
-  std::ostringstream out;
-  out << value;
-  return out.str();
-}
-
 std::string OutOfRange(std::string_view value, std::string_view min,
                        std::string_view max) {
   return std::string(value) + " is not between " + std::string(min) + " and " +
--- a/heatherlatch/yaml/units.cc
+++ b/heatherlatch/yaml/units.cc
@@ -22,6 +22,9 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max())
         .count());
 
+// The longest double without an exponent.
+constexpr std::size_t kMaxNumberBytes = 1100;
+
 template <std::size_t kUnits>
 std::optional<std::uint64_t> ParseQuantity(
     std::string_view text, const std::array<Unit, kUnits>& units,
@@ -62,6 +65,13 @@
                        std::numeric_limits<std::uint64_t>::max());
 }
 
+std::string FormatNumber(double value) {
+  char text[kMaxNumberBytes];
+  const auto result =
+      std::to_chars(text, text + sizeof(text), value, std::chars_format::fixed);
+  return std::string(text, result.ptr);
+}
+
 std::string FormatDuration(Duration duration) {
   const auto count =
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
--- a/heatherlatch/yaml/units.h
+++ b/heatherlatch/yaml/units.h
@@ -21,6 +21,10 @@
 // @return the number of bytes; none where the text is malformed or overflows
 std::optional<std::uint64_t> ParseSize(std::string_view text);
 
+// @return the shortest text without an exponent that stands for exactly this
+//     number
+std::string FormatNumber(double value);
+
 // @return the duration in the largest unit that gives a whole number
 std::string FormatDuration(Duration duration);
 
