--- a/heatherlatch/objects/properties_test.cc
+++ b/heatherlatch/objects/properties_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <regex>
 #include <sstream>
 
 #include "heatherlatch/objects/check.h"
@@ -25,12 +26,23 @@
   return lines;
 }
 
-// Removes, doubles or swaps lines, or changes one character of a line.
+// Replaces one word of a line, such as a name, by a word that names nothing.
+void ReplaceWord(std::string* line) {
+  static const std::regex word("[A-Za-z0-9_-]+");
+  const std::vector<std::smatch> words(
+      std::sregex_iterator(line->begin(), line->end(), word), {});
+  if (words.empty()) return;
+  const std::smatch chosen = *rc::gen::elementOf(words);
+  const std::string other = *rc::gen::element<std::string>("x", "\"\"", "7");
+  line->replace(chosen.position(), chosen.length(), other);
+}
+
+// Removes, doubles or swaps lines, or changes a word or a character of a line.
 void Mutate(std::vector<std::string>* lines) {
   const auto at = *rc::gen::inRange<std::size_t>(0, lines->size());
   const auto other = *rc::gen::inRange<std::size_t>(0, lines->size());
   std::string& line = (*lines)[at];
-  switch (*rc::gen::inRange(0, 5)) {
+  switch (*rc::gen::inRange(0, 6)) {
     case 0:
       line.clear();
       break;
@@ -45,6 +57,9 @@
       line[*rc::gen::inRange<std::size_t>(0, line.size())] =
           *rc::gen::elementOf(std::string("abz019-:[]{},&*!|>\"' \t\x01\xff"));
       break;
+    case 4:
+      ReplaceWord(&line);
+      break;
     default:
       line.resize(*rc::gen::inRange<std::size_t>(0, line.size() + 1));
   }
