--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -89,7 +89,7 @@
 control_port: 18001
 groups:
   - {name: tally, count: ${DEPLOYMENT_TALLY_SERVERS:-8}, first_port: 18400, slots: 3,
-     service_mean_ms: ${DEPLOYMENT_TALLY_MS:-8}}
+     service_mean_ms: ${DEPLOYMENT_TALLY_MS:-8}, tail_share: ${DEPLOYMENT_TALLY_TAIL:-0.02}}
   - {name: ledger, count: 4, first_port: 18500, slots: 3, service_mean_ms: 8}
   - {name: catalogue, count: 4, first_port: 18600, slots: 3, service_mean_ms: 8,
      answer_bytes: 2000000}
