--- a/heatherlatch/placement/group_scheduler.h
+++ b/heatherlatch/placement/group_scheduler.h
@@ -19,9 +19,8 @@
 //   - A request whose deadline cannot be met at the current service rate is
 //     refused at once instead of queued.
 //   - A server that answers far slower than its group is given no new work
-//   until
-//     it has recovered; a draining server or one in a zone out of service gets
-//     none.
+//     until it has recovered; a draining server or one in a zone out of service
+//     gets none.
 //   - An isolated request runs only on a server that runs nothing else.
 //
 // Example:
