--- a/heatherlatch/at_most_once/key_ring.h
+++ b/heatherlatch/at_most_once/key_ring.h
@@ -28,7 +28,7 @@
 //
 // Bound. `quiet_period` must be longer than the resend window of the published
 // limits plus the longest request deadline plus `2 * support_lifetime` plus the
-// clock error; then no repeat reaches a second owner.
+// clock error (`LongestKeyDeadline`); then no repeat reaches a second owner.
 // docs/design/at-most-once.md gives the argument, the assumptions about the
 // platform's list and what the rule costs. Requests under a `Ticket` need none
 // of this.
@@ -67,6 +67,19 @@
   Duration max_list_lag = std::chrono::seconds(10);
 };
 
+// Most that two steady clocks, or a wall clock and its worker's, may differ
+// over one quiet period.
+inline constexpr Duration kMaxClockError = std::chrono::seconds(1);
+
+// @param resend_window  how long a caller may repeat a request under its key
+// @return the longest deadline of a request under a caller's key that the quiet
+//     period covers; not positive where it covers none
+constexpr Duration LongestKeyDeadline(const KeyRingOptions& options,
+                                      Duration resend_window) {
+  return options.quiet_period - resend_window - 2 * options.support_lifetime -
+         kMaxClockError;
+}
+
 struct RunHere {};  // This host may run the request now.
 struct ForwardTo {  // Another host owns the key.
   HostIncarnation owner;
--- a/heatherlatch/at_most_once/key_ring_model_test.cc
+++ b/heatherlatch/at_most_once/key_ring_model_test.cc
@@ -311,14 +311,13 @@
     std::deque<Message> rest;
     std::deque<Message> inbox;
     for (Message& message : messages_) {
+      if (!IsCurrent(message.to)) continue;
+      const bool cut = !Connected(message.from, message.to);
       const bool mine = message.to == process.self && !process.cut_off;
-      const bool current = IsCurrent(message.to);
-      if (!current) continue;
-      if (!mine || message.arrives_at > now_) {
-        rest.push_back(std::move(message));
-      } else if (Connected(message.from, message.to)) {
+      const bool arrived = mine && message.arrives_at <= now_;
+      if (arrived && !cut) {
         inbox.push_back(std::move(message));
-      } else if (!lose_cut_messages_) {
+      } else if (!arrived || !lose_cut_messages_) {
         rest.push_back(std::move(message));
       }
     }
--- a/heatherlatch/at_most_once/key_ring_test.cc
+++ b/heatherlatch/at_most_once/key_ring_test.cc
@@ -74,6 +74,11 @@
   std::map<std::string, KeyRing> rings_;
 };
 
+TEST_CASE("the quiet period covers the default resend window", "[promise-07]") {
+  CHECK(LongestKeyDeadline(KeyRingOptions(), seconds(20)) == seconds(20));
+  CHECK(LongestKeyDeadline(KeyRingOptions(), seconds(41)) < Duration::zero());
+}
+
 const Hosts::Names kAbc{"a", "b", "c"};
 
 Hosts SettledAbc() {
