Clear the linter's findings in the peer folder

Change: sizes are computed in their own type; the members that websocketpp prescribes are exempt from the naming rule. Left: the finding in at_most_once/execution_log.h is in another folder.

--- a/heatherlatch/peer/internal/websocket.h
+++ b/heatherlatch/peer/internal/websocket.h
@@ -32,6 +32,8 @@
 
 // Every connection is used on the I/O thread only, so the library needs no
 // locks and no strands.
+// The library prescribes the names and types of the members.
+// NOLINTBEGIN(readability-identifier-naming, google-runtime-int)
 struct WebsocketConfig : public websocketpp::config::asio {
   using type = WebsocketConfig;
   using base = websocketpp::config::asio;
@@ -64,6 +66,7 @@
   static constexpr websocketpp::log::level alog_level =
       websocketpp::log::alevel::none;
 };
+// NOLINTEND(readability-identifier-naming, google-runtime-int)
 
 using WebsocketServer = websocketpp::server<WebsocketConfig>;
 using WebsocketClient = websocketpp::client<WebsocketConfig>;
--- a/heatherlatch/peer/messages.h
+++ b/heatherlatch/peer/messages.h
@@ -29,7 +29,7 @@
 namespace heatherlatch {
 
 inline constexpr int kPeerProtocolVersion = 1;
-inline constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxFrameBytes = std::size_t{4} * 1024 * 1024;
 
 // Matches an answer to its question on one link; unique for the asker.
 using CallId = std::uint64_t;
--- a/heatherlatch/peer/peer_link_benchmark.cc
+++ b/heatherlatch/peer/peer_link_benchmark.cc
@@ -191,10 +191,11 @@
 };
 
 double Percentile(std::vector<Duration>* sorted, double share) {
-  const auto index =
-      static_cast<std::size_t>(share * static_cast<double>(sorted->size() - 1));
-  std::nth_element(sorted->begin(), sorted->begin() + index, sorted->end());
-  return std::chrono::duration<double, std::micro>((*sorted)[index]).count();
+  const auto index = static_cast<std::ptrdiff_t>(
+      share * static_cast<double>(sorted->size() - 1));
+  const auto position = sorted->begin() + index;
+  std::nth_element(sorted->begin(), position, sorted->end());
+  return std::chrono::duration<double, std::micro>(*position).count();
 }
 
 void RoundTrip(benchmark::State& state) {
--- a/heatherlatch/peer/transport.h
+++ b/heatherlatch/peer/transport.h
@@ -70,7 +70,8 @@
   std::vector<std::string> keys;
   Duration reconnect_min = std::chrono::milliseconds(100);
   Duration reconnect_max = std::chrono::seconds(2);
-  std::size_t max_unsent_bytes = 16 * 1024 * 1024;  // For each link.
+  std::size_t max_unsent_bytes =
+      std::size_t{16} * 1024 * 1024;  // For each link.
   // A connection that is not admitted within this time is closed.
   Duration admission_timeout = std::chrono::seconds(5);
   Duration max_silence = std::chrono::seconds(5);
--- a/heatherlatch/peer/transport_faults_test.cc
+++ b/heatherlatch/peer/transport_faults_test.cc
@@ -179,11 +179,11 @@
 
 TEST_CASE("a peer that reads nothing fills its own queue only") {
   TransportOptions options = TestHost::DefaultOptions();
-  options.max_unsent_bytes = 1024 * 1024;
+  options.max_unsent_bytes = std::size_t{1024} * 1024;
   RelayedHosts hosts(options);
   hosts.relay->Pause();
   ConfigurationOffer offer;
-  offer.document.yaml = std::string(100 * 1024, 'x');
+  offer.document.yaml = std::string(std::size_t{100} * 1024, 'x');
   // The sockets on the way take some of it, and no more than this.
   constexpr int kMoreThanSocketsTake = 1000;
   SendResult sent = SendResult::kSent;
--- a/heatherlatch/peer/transport_test.cc
+++ b/heatherlatch/peer/transport_test.cc
@@ -185,8 +185,8 @@
 }
 
 TEST_CASE("messages of many threads arrive once and in order", "[promise-05]") {
-  constexpr int kThreads = 6;
-  constexpr int kMessages = 400;
+  constexpr std::size_t kThreads = 6;
+  constexpr std::size_t kMessages = 400;
   TestHost a("a");
   TestHost b("b");
   a.Start();
@@ -194,11 +194,11 @@
   a.ConnectTo(b);
   REQUIRE(Eventually([&] { return Linked(a, b); }));
   std::vector<std::thread> threads;
-  for (int thread = 0; thread < kThreads; ++thread) {
+  for (std::size_t thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&a, &b, thread] {
       for (std::uint64_t i = 0; i < kMessages; ++i) {
         a.transport().Send(b.incarnation(),
-                           CancelAcquire{thread * 1000000ULL + i});
+                           CancelAcquire{thread * 1000000 + i});
       }
     });
   }
