Let one end decide between links of one connecting host

Cause: of two links that one host opened to another, each end kept the one it admitted last, so both could be closed; two endpoints that lead to one host (an address in the list that differs from the host's own) made that likely and then connected for ever. Ruled out: keeping the older link on both ends, as a connecting host that has lost its link would be refused until the other end notices. Change: the accepting end leaves such links open and falls back to them; the connecting end closes one. A target whose host is linked is not connected to. Membership offers one endpoint for each host. Queued frames count the memory that they take besides their payload.

--- a/heatherlatch/membership/membership.cc
+++ b/heatherlatch/membership/membership.cc
@@ -266,24 +266,24 @@
   }
 
   // @return listed hosts that are not leaving and present members, one for
-  //     each endpoint
+  //     each host; what a member says of itself goes before the list
   std::vector<LinkCandidate> Candidates() const {
-    std::map<Endpoint, LinkCandidate> candidates;
+    std::map<HostName, LinkCandidate> candidates;
     for (const ListedHost& host : listed_) {
       if (host.leaving) continue;
-      candidates[host.peer_endpoint] = {host.name, host.region, host.zone,
-                                        host.peer_endpoint};
+      candidates[host.name] = {host.name, host.region, host.zone,
+                               host.peer_endpoint};
     }
     for (const auto& [incarnation, member] : peers_) {
       if (member.state == MemberState::kLeaving) continue;
       const HostDescription& peer = member.description;
-      candidates[peer.peer_endpoint] = {incarnation.host, peer.region,
-                                        peer.zone, peer.peer_endpoint};
+      candidates[incarnation.host] = {incarnation.host, peer.region, peer.zone,
+                                      peer.peer_endpoint};
     }
     std::vector<LinkCandidate> others;
-    for (const auto& [endpoint, candidate] : candidates) {
-      const bool self = endpoint == self_.peer_endpoint ||
-                        candidate.name == self_.incarnation.host;
+    for (const auto& [name, candidate] : candidates) {
+      const bool self = candidate.endpoint == self_.peer_endpoint ||
+                        name == self_.incarnation.host;
       if (!self) others.push_back(candidate);
     }
     return others;
--- a/heatherlatch/peer/internal/link.cc
+++ b/heatherlatch/peer/internal/link.cc
@@ -5,6 +5,8 @@
 namespace heatherlatch::peer_internal {
 namespace {
 
+// Memory of a queued frame besides its payload.
+constexpr std::size_t kFrameOverheadBytes = 384;
 constexpr std::size_t kLargestShortPayload = 125;
 constexpr std::size_t kLargestMediumPayload = 65535;
 
@@ -38,7 +40,8 @@
   peer_ = std::move(peer);
 }
 
-bool Link::TryReserve(std::size_t bytes, std::size_t max_unsent) {
+bool Link::TryReserve(std::size_t payload, std::size_t max_unsent) {
+  const std::size_t bytes = payload + kFrameOverheadBytes;
   const std::size_t before = unsent_bytes_->fetch_add(bytes);
   if (before + bytes <= max_unsent) return true;
   unsent_bytes_->fetch_sub(bytes);
@@ -46,7 +49,7 @@
 }
 
 WebsocketMessagePtr Link::Frame(std::string payload) {
-  const std::size_t reserved = payload.size();
+  const std::size_t reserved = payload.size() + kFrameOverheadBytes;
   const auto unframed = std::make_shared<WebsocketMessage>(nullptr);
   unframed->set_opcode(websocketpp::frame::opcode::binary);
   unframed->get_raw_payload() = std::move(payload);
--- a/heatherlatch/peer/internal/link.h
+++ b/heatherlatch/peer/internal/link.h
@@ -44,10 +44,10 @@
   const std::optional<LinkLossReason>& closing() const { return closing_; }
   void SetClosing(LinkLossReason reason) { closing_ = reason; }
 
-  // Counts bytes against the bound of unsent bytes, until the frame made of
-  // them is written or dropped.
+  // Counts a payload against the bound of unsent bytes, with the memory that a
+  // frame takes besides, until the frame made of it is written or dropped.
   // @return whether there was room
-  bool TryReserve(std::size_t bytes, std::size_t max_unsent);
+  bool TryReserve(std::size_t payload, std::size_t max_unsent);
 
   // Makes a websocket frame of a payload that was reserved before.
   WebsocketMessagePtr Frame(std::string payload);
--- a/heatherlatch/peer/transport.cc
+++ b/heatherlatch/peer/transport.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <shared_mutex>
 #include <thread>
@@ -130,6 +131,9 @@
         : retry(io), backoff(options.reconnect_min, options.reconnect_max) {}
     asio::steady_timer retry;
     Backoff backoff;
+    // Who was found there last. Two endpoints may lead to one host; then one
+    // link serves both.
+    std::optional<HostIncarnation> peer;
   };
 
   // Set-up.
@@ -155,6 +159,9 @@
   void SendUnproven(const LinkPtr& link, const PeerMessage& message);
   void Admit(const LinkPtr& link, const HostDescription& peer);
   bool IsPreferred(const LinkPtr& link, const HostIncarnation& peer) const;
+  void Replace(const LinkPtr& other, const LinkPtr& link,
+               const HostDescription& peer);
+  void InstallSpare(const HostIncarnation& peer);
   void Install(const LinkPtr& link);
 
   // Ends of links.
@@ -173,6 +180,7 @@
   void ConnectIfNeeded(const Endpoint& endpoint);
   void Connect(const Endpoint& endpoint);
   void RetryLater(const Endpoint& endpoint);
+  void RetryTargetsOf(const HostIncarnation& peer);
   bool HasLinkTo(const Endpoint& endpoint) const;
 
   // Sending, on the I/O thread.
@@ -344,6 +352,7 @@
   const LinkLossReason reason = EndReason(link);
   if (link->admitted()) {
     Uninstall(link, reason);
+    InstallSpare(link->peer().incarnation);
   } else if (!link->closing() && reason != LinkLossReason::kClosed &&
              handlers_.on_refused) {
     handlers_.on_refused(link->remote(), reason, nullptr);
@@ -441,14 +450,33 @@
     return Close(link, LinkLossReason::kReplaced);
   }
   for (const LinkPtr& other : AllLinks()) {
-    const bool replaced =
-        other != link && other->admitted() && SamePlace(other->peer(), peer);
-    if (replaced) Drop(other, LinkLossReason::kReplaced);
+    if (other == link || !other->admitted()) continue;
+    if (SamePlace(other->peer(), peer)) Replace(other, link, peer);
   }
   link->Admit(peer);
   Install(link);
 }
 
+void PeerTransport::Impl::Replace(const LinkPtr& other, const LinkPtr& link,
+                                  const HostDescription& peer) {
+  // The two ends may admit two links of one connecting host in different
+  // orders, so the connecting end alone decides which one to close.
+  const bool peer_decides = other->peer().incarnation == peer.incarnation &&
+                            other->role() == LinkRole::kAccepting &&
+                            link->role() == LinkRole::kAccepting;
+  Uninstall(other, LinkLossReason::kReplaced);
+  if (!peer_decides) Close(other, LinkLossReason::kReplaced);
+}
+
+void PeerTransport::Impl::InstallSpare(const HostIncarnation& peer) {
+  if (stopping_ || FindAdmitted(peer)) return;
+  for (const LinkPtr& link : links_) {
+    const bool usable = link->admitted() && !link->closing() &&
+                        link->peer().incarnation == peer;
+    if (usable) return Install(link);
+  }
+}
+
 void PeerTransport::Impl::Install(const LinkPtr& link) {
   link->connection()->set_max_message_size(kMaxFrameBytes);
   {
@@ -456,7 +484,10 @@
     admitted_[link->peer().incarnation] = link;
   }
   const auto target = targets_.find(TargetOf(link));
-  if (target != targets_.end()) target->second.backoff.Reset();
+  if (target != targets_.end()) {
+    target->second.backoff.Reset();
+    target->second.peer = link->peer().incarnation;
+  }
   if (handlers_.on_link_up) handlers_.on_link_up(link->peer());
 }
 
@@ -506,6 +537,7 @@
     if (found == admitted_.end() || found->second != link) return;
     admitted_.erase(found);
   }
+  RetryTargetsOf(link->peer().incarnation);
   if (handlers_.on_link_down) {
     handlers_.on_link_down(link->peer().incarnation, reason);
   }
@@ -533,6 +565,12 @@
   }
 }
 
+void PeerTransport::Impl::RetryTargetsOf(const HostIncarnation& peer) {
+  for (const auto& [endpoint, target] : targets_) {
+    if (target.peer == peer) RetryLater(endpoint);
+  }
+}
+
 bool PeerTransport::Impl::HasLinkTo(const Endpoint& endpoint) const {
   for (const LinkPtr& link : links_) {
     if (link->closing()) continue;
@@ -546,8 +584,11 @@
 }
 
 void PeerTransport::Impl::ConnectIfNeeded(const Endpoint& endpoint) {
-  if (stopping_ || targets_.count(endpoint) == 0) return;
-  if (!HasLinkTo(endpoint)) Connect(endpoint);
+  const auto target = targets_.find(endpoint);
+  if (stopping_ || target == targets_.end()) return;
+  const auto& peer = target->second.peer;
+  const bool linked = peer && FindAdmitted(*peer) != nullptr;
+  if (!linked && !HasLinkTo(endpoint)) Connect(endpoint);
 }
 
 void PeerTransport::Impl::Connect(const Endpoint& endpoint) {
--- a/heatherlatch/peer/transport.h
+++ b/heatherlatch/peer/transport.h
@@ -3,10 +3,10 @@
 // A link is admitted when its `Hello` proves the shared key (peer_key.h). Both
 // hosts may connect to one another; the link whose connecting side has the
 // smaller incarnation is kept, and of two links with the same connecting side
-// the later one. A link to another incarnation at the same host name or peer
-// endpoint is closed when a newer one is admitted. Whatever was sent on a link
-// that went down may be lost, also where another link takes its place: the
-// peer then goes down (`kReplaced`) and up again.
+// the one that this side admitted last. A link to another incarnation at the
+// same host name or peer endpoint is closed when a newer one is admitted.
+// Whatever was sent on a link that went down may be lost, also where another
+// link takes its place: the peer then goes down (`kReplaced`) and up again.
 //
 // A lost link is connected again with a growing, jittered delay. A link on
 // which nothing arrives for `max_silence` is closed; an idle link is kept alive
--- a/heatherlatch/peer/transport_test.cc
+++ b/heatherlatch/peer/transport_test.cc
@@ -90,6 +90,24 @@
   }
 }
 
+TEST_CASE("two endpoints that lead to one host end in one steady link") {
+  TransportOptions every_address = TestHost::DefaultOptions();
+  every_address.listen.address = "0.0.0.0";
+  TestHost a("a");
+  TestHost b("b", 1, every_address);
+  a.Start();
+  b.Start();
+  const Endpoint alias{"127.0.0.2", b.endpoint().port};
+  a.transport().SetTargets({{"127.0.0.1", alias.port}, alias});
+  REQUIRE(Eventually([&] {
+    return Linked(a, b) && a.transport().Counters().connections == 1;
+  }));
+  // Longer than a connection is tried again after.
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(a.Ups().size() <= 2);
+  CHECK(ExchangeWorks(a, b));
+}
+
 TEST_CASE("a host without the key is refused") {
   TestHost a("a", 1, WithKeys({"one key"}));
   TestHost b("b", 1, WithKeys({"another key"}));
