Find the byte order before threads use it

Cause: the thread sanitizer reported that websocketpp's _htonll keeps the byte order in a plain static which two threads may set; both set the same value. Change: it is used once under the lock of a function's static. Conclusion: the only report of the sanitizer over peer_test and peer_fuzz.

--- a/heatherlatch/peer/transport.cc
+++ b/heatherlatch/peer/transport.cc
@@ -75,6 +75,13 @@
   connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
 }
 
+// The library finds the byte order on first use, without a lock; this uses it
+// once before any thread does.
+void InitialiseByteOrder() {
+  static const auto kIgnored = websocketpp::lib::net::_htonll(0);
+  static_cast<void>(kIgnored);
+}
+
 bool SamePlace(const HostDescription& a, const HostDescription& b) {
   return a.incarnation.host == b.incarnation.host ||
          a.peer_endpoint == b.peer_endpoint;
@@ -110,6 +117,7 @@
         work_(asio::make_work_guard(io_)),
         silence_timer_(io_),
         stop_timer_(io_) {
+    InitialiseByteOrder();
     SetUp(&server_);
     SetUp(&client_);
   }
