--- a/heatherlatch/peer/transport.h
+++ b/heatherlatch/peer/transport.h
@@ -3,10 +3,10 @@
 // A link is admitted when its `Hello` proves the shared key (peer_key.h). Both
 // hosts may connect to one another; the link whose connecting side has the
 // smaller incarnation is kept, and of two links with the same connecting side
-// the later one. A link to another incarnation at the same host name or peer
-// endpoint is closed when a newer one is admitted. Whatever was sent on a link
-// that went down may be lost, also where another link takes its place: the
-// peer then goes down (`kReplaced`) and up again.
+// the one that this side admitted last. A link to another incarnation at the
+// same host name or peer endpoint is closed when a newer one is admitted.
+// Whatever was sent on a link that went down may be lost, also where another
+// link takes its place: the peer then goes down (`kReplaced`) and up again.
 //
 // A lost link is connected again with a growing, jittered delay. A link on
 // which nothing arrives for `max_silence` is closed; an idle link is kept alive
@@ -70,7 +70,8 @@
   std::vector<std::string> keys;
   Duration reconnect_min = std::chrono::milliseconds(100);
   Duration reconnect_max = std::chrono::seconds(2);
-  std::size_t max_unsent_bytes = 16 * 1024 * 1024;  // For each link.
+  std::size_t max_unsent_bytes =
+      std::size_t{16} * 1024 * 1024;  // For each link.
   // A connection that is not admitted within this time is closed.
   Duration admission_timeout = std::chrono::seconds(5);
   Duration max_silence = std::chrono::seconds(5);
