Close a connection that received more than its answer

Cause: libcurl drops bytes behind a final chunk, or behind a head without a body, when they arrive in one read with it, and keeps the connection. The rest of such an answer could be read as the next one.

Ruled out: closing each connection after a chunked answer, which costs a connect (about 1 ms on a worker) for each call to a server that answers so; reading the raw bytes with transfer decoding off, which needs a parser of our own.

Change: the bytes that the kernel counted for the connection (TCP_INFO) must be those of head and body. The size of a chunked body on the wire is not known, so there the debug output of libcurl tells; it is switched on once the head says "chunked".

Before: 1 connection for 3 answers with bytes behind them (chunked, 204, 304, HEAD). The test for a body with a length passed before and after.

An answer with an X-Request-Id to a request without one is taken.

--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -1,5 +1,7 @@
 #include "heatherlatch/backend/internal/http_connection.h"
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -12,6 +14,10 @@
 
 constexpr long kReceiveBufferBytes = 65536;  // NOLINT(google-runtime-int)
 
+// libcurl says so in its debug output, and nowhere else, when it drops bytes
+// that came behind the final chunk of a body.
+constexpr std::string_view kLeftoversText = "Leftovers after chunking";
+
 // Initialises libcurl once for the process.
 void InitialiseCurl() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -98,6 +104,16 @@
                     kCancellationPollInterval);
 }
 
+// @return the bytes that a connection has ever received; none if unknown
+std::optional<std::uint64_t> BytesReceived(curl_socket_t socket) {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return info.tcpi_bytes_received;
+}
+
 bool IsWhole(BodyEnd body_end, const AnswerHead& head,
              std::uint64_t body_bytes) {
   switch (body_end) {
@@ -150,6 +166,8 @@
   const std::string& request_id;
   AnswerHeadReader reader;
   bool head_complete = false;
+  bool has_leftovers = false;  // Bytes came after the final chunk.
+  std::uint64_t head_bytes = 0;
   TimePoint start;
   ExchangeEnd end;
 };
@@ -158,6 +176,7 @@
   if (end.first_byte == Duration::zero()) {
     end.first_byte = SteadyClock::now() - start;
   }
+  head_bytes += line.size();
   if (head_complete) return true;  // A trailer.
   switch (reader.TakeLine(line)) {
     case HeadProgress::kIncomplete:
@@ -172,7 +191,8 @@
 
 bool HttpConnection::Exchange::TakeCompleteHead() {
   const std::string& answered_id = reader.request_id();
-  if (!answered_id.empty() && answered_id != request_id) {
+  const bool comparable = !answered_id.empty() && !request_id.empty();
+  if (comparable && answered_id != request_id) {
     return Fail(ExchangeFailure::kMalformedAnswer);
   }
   head_complete = true;
@@ -226,6 +246,8 @@
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
+  curl_easy_setopt(easy_, CURLOPT_DEBUGFUNCTION, &OnDebug);
+  curl_easy_setopt(easy_, CURLOPT_DEBUGDATA, this);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
@@ -259,6 +281,7 @@
   Exchange exchange(request, sink);
   HeaderLines header_lines(request.headers);
   SetMethod(request);
+  curl_easy_setopt(easy_, CURLOPT_VERBOSE, 0L);
   curl_easy_setopt(easy_, CURLOPT_REQUEST_TARGET,
                    EncodeTarget(request.target).c_str());
   curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_lines.get());
@@ -284,7 +307,7 @@
   // libcurl finds the socket only while the handle belongs to `multi_`.
   curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idle_socket_);
   curl_multi_remove_handle(multi_, easy_);
-  end.reusable = !end.failure && idle_socket_ != CURL_SOCKET_BAD;
+  end.reusable = !end.failure && EndedExactly(exchange);
   exchange_ = nullptr;
   end.total = SteadyClock::now() - exchange.start;
   return end;
@@ -315,6 +338,17 @@
   return message->data.result;
 }
 
+bool HttpConnection::EndedExactly(const Exchange& exchange) {
+  if (idle_socket_ == CURL_SOCKET_BAD || exchange.has_leftovers) return false;
+  const std::optional<std::uint64_t> received = BytesReceived(idle_socket_);
+  if (!received) return false;
+  const std::uint64_t before = exchange.end.new_connection ? 0 : received_;
+  received_ = *received;
+  // The size of a chunked body on the wire is not known here.
+  if (exchange.reader.body_end() == BodyEnd::kFinalChunk) return true;
+  return *received - before == exchange.head_bytes + exchange.end.body_bytes;
+}
+
 bool HttpConnection::IsIdleAndOpen() const {
   if (idle_socket_ == CURL_SOCKET_BAD) return false;
   char byte = 0;
@@ -325,11 +359,14 @@
 
 std::size_t HttpConnection::OnHeaderLine(char* data, std::size_t size,
                                          std::size_t count, void* connection) {
+  auto* self = static_cast<HttpConnection*>(connection);
   const std::size_t bytes = size * count;
-  const bool wanted =
-      static_cast<HttpConnection*>(connection)
-          ->exchange_->TakeHeadLine(std::string_view(data, bytes));
-  return wanted ? bytes : 0;
+  Exchange* exchange = self->exchange_;
+  if (!exchange->TakeHeadLine(std::string_view(data, bytes))) return 0;
+  if (exchange->reader.body_end() == BodyEnd::kFinalChunk) {
+    curl_easy_setopt(self->easy_, CURLOPT_VERBOSE, 1L);
+  }
+  return bytes;
 }
 
 std::size_t HttpConnection::OnBody(char* data, std::size_t size,
@@ -340,6 +377,17 @@
   return wanted ? bytes : 0;
 }
 
+int HttpConnection::OnDebug(CURL* /*easy*/, curl_infotype type, char* data,
+                            std::size_t size, void* connection) {
+  Exchange* exchange = static_cast<HttpConnection*>(connection)->exchange_;
+  if (type != CURLINFO_TEXT || exchange == nullptr) return 0;
+  const std::string_view text(data, size);
+  if (text.substr(0, kLeftoversText.size()) == kLeftoversText) {
+    exchange->has_leftovers = true;
+  }
+  return 0;
+}
+
 int HttpConnection::OnBeforeSend(void* connection, char* /*remote_ip*/,
                                  char* /*local_ip*/, int /*remote_port*/,
                                  int /*local_port*/) {
--- a/heatherlatch/backend/internal/http_connection.h
+++ b/heatherlatch/backend/internal/http_connection.h
@@ -32,7 +32,8 @@
   std::string target;
   HeaderList headers;
   std::string_view body;
-  std::string request_id;  // An answer with another `X-Request-Id` is refused.
+  // Where both have one, an answer with another `X-Request-Id` is refused.
+  std::string request_id;
 };
 
 enum class ExchangeFailure {
@@ -82,11 +83,15 @@
   void SetMethod(const HttpRequest& request);
   std::optional<CURLcode> Drive(Exchange* exchange, const AnswerSink& sink,
                                 TimePoint deadline);
+  // @return whether the connection received the answer and nothing behind it
+  bool EndedExactly(const Exchange& exchange);
 
   static std::size_t OnHeaderLine(char* data, std::size_t size,
                                   std::size_t count, void* connection);
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                             void* connection);
+  static int OnDebug(CURL* easy, curl_infotype type, char* data,
+                     std::size_t size, void* connection);
   static int OnBeforeSend(void* connection, char* remote_ip, char* local_ip,
                           int remote_port, int local_port);
   static curl_socket_t OnOpenSocket(void* connection, curlsocktype purpose,
@@ -95,7 +100,8 @@
   Endpoint endpoint_;
   CURLM* multi_;
   CURL* easy_;
-  Exchange* exchange_ = nullptr;                 // Set while `Run` lasts.
+  Exchange* exchange_ = nullptr;  // Set while `Run` lasts.
+  std::uint64_t received_ = 0;    // Bytes of all former exchanges.
   curl_socket_t idle_socket_ = CURL_SOCKET_BAD;  // Open between exchanges.
 };
 
