Let the load generator wait with epoll

Cause: curl_multi_perform and curl_multi_poll go over every transfer at each turn, so the generator sent late while many requests were in progress.

Change: TransferLoop drives libcurl by curl_multi_socket_action and epoll.

--- a/programs/load/load_worker.cc
+++ b/programs/load/load_worker.cc
@@ -1,8 +1,6 @@
 #include "programs/load/load_worker.h"
 
 #include <curl/curl.h>
-#include <sys/timerfd.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <deque>
@@ -16,6 +14,7 @@
 #include <vector>
 
 #include "programs/load/arrivals.h"
+#include "programs/load/transfer_loop.h"
 
 namespace heatherlatch::load {
 namespace {
@@ -110,7 +109,6 @@
  public:
   Impl(const LoadProfile& profile, int number, TimePoint start,
        SharedProgress* progress);
-  ~Impl();
 
   void Run();
   LoadReport TakeReport() { return std::move(report_); }
@@ -132,7 +130,7 @@
   void End(CURL* easy, CURLcode code);
   void EndTickets(const Transfer& transfer);
   void EndRequest(TransferPointer transfer, CURLcode code, int status);
-  void Wait(TimePoint now);
+  TimePoint NextWake(TimePoint now) const;
   bool MayStart() const;
   bool Working() const;
 
@@ -146,10 +144,7 @@
   std::optional<Duration> next_due_;
   std::uint64_t sequence_ = 0;
   std::size_t next_target_;
-  CURLM* multi_;
-  int timer_;
-  std::vector<CURL*> idle_handles_;
-  int in_progress_ = 0;
+  TransferLoop loop_;
   bool tickets_asked_ = false;
   std::deque<std::string> tickets_;
   std::deque<TransferPointer> without_ticket_;
@@ -168,20 +163,12 @@
                     static_cast<std::uint64_t>(number)),
       random_(profile.seed + static_cast<std::uint64_t>(number)),
       next_due_(arrivals_.Next()),
-      next_target_(static_cast<std::size_t>(number)),
-      multi_(curl_multi_init()),
-      timer_(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+      next_target_(static_cast<std::size_t>(number)) {
   std::vector<double> weights;
   for (const RequestKind& kind : profile.kinds) weights.push_back(kind.weight);
   kind_choice_ = {weights.begin(), weights.end()};
 }
 
-LoadWorker::Impl::~Impl() {
-  for (CURL* easy : idle_handles_) curl_easy_cleanup(easy);
-  curl_multi_cleanup(multi_);
-  close(timer_);
-}
-
 void LoadWorker::Impl::Run() {
   const bool wants_tickets = std::any_of(
       profile_.kinds.begin(), profile_.kinds.end(),
@@ -191,16 +178,15 @@
     const TimePoint now = SteadyClock::now();
     StartDue(now);
     StartResends(now);
-    int running = 0;
-    curl_multi_perform(multi_, &running);
+    TakeEnded();  // A connection that is refused may end at once.
+    loop_.Wait(NextWake(SteadyClock::now()));
     TakeEnded();
-    Wait(SteadyClock::now());
   }
 }
 
 bool LoadWorker::Impl::Working() const {
   const bool more_due = next_due_ && !progress_->stopping;
-  return more_due || in_progress_ > 0 || !resends_.empty();
+  return more_due || loop_.in_progress() > 0 || !resends_.empty();
 }
 
 bool LoadWorker::Impl::MayStart() const {
@@ -226,7 +212,7 @@
 }
 
 void LoadWorker::Impl::StartRequest(Duration due) {
-  if (in_progress_ >= profile_.max_in_progress / profile_.threads) {
+  if (loop_.in_progress() >= profile_.max_in_progress / profile_.threads) {
     report_.CountDropped();
     return;
   }
@@ -264,21 +250,14 @@
 }
 
 void LoadWorker::Impl::Send(TransferPointer transfer) {
-  CURL* easy = nullptr;
-  if (idle_handles_.empty()) {
-    easy = curl_easy_init();
-  } else {
-    easy = idle_handles_.back();
-    idle_handles_.pop_back();
-  }
-  ++in_progress_;
+  CURL* easy = loop_.TakeHandle();
   ++transfer->attempts;
   if (transfer->kind != nullptr && transfer->attempts == 1) {
     report_.AddLateness(SteadyClock::now() - start_ - transfer->due);
   }
   SetRequest(easy, transfer.get());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.release());
-  curl_multi_add_handle(multi_, easy);
+  loop_.Start(easy);
 }
 
 void LoadWorker::Impl::SetRequest(CURL* easy, Transfer* transfer) {
@@ -295,7 +274,6 @@
   transfer->not_run = false;
   transfer->replayed = false;
   if (transfer->headers == nullptr) transfer->headers = HeadersOf(*transfer);
-  curl_easy_reset(easy);
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -340,11 +318,7 @@
 }
 
 void LoadWorker::Impl::TakeEnded() {
-  int left = 0;
-  while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-    if (message->msg != CURLMSG_DONE) continue;
-    End(message->easy_handle, message->data.result);
-  }
+  while (const auto ended = loop_.TakeEnded()) End(ended->easy, ended->code);
 }
 
 void LoadWorker::Impl::End(CURL* easy, CURLcode code) {
@@ -352,9 +326,7 @@
   long status = 0;  // NOLINT(google-runtime-int)
   curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user);
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_multi_remove_handle(multi_, easy);
-  idle_handles_.push_back(easy);
-  --in_progress_;
+  loop_.ReturnHandle(easy);
   TransferPointer transfer(reinterpret_cast<Transfer*>(user));
   if (transfer->kind == nullptr) {
     EndTickets(*transfer);
@@ -417,19 +389,11 @@
   if (end.good) ++progress_->good;
 }
 
-void LoadWorker::Impl::Wait(TimePoint now) {
+TimePoint LoadWorker::Impl::NextWake(TimePoint now) const {
   TimePoint wake = now + kIdleWait;
   if (next_due_) wake = std::min(wake, start_ + *next_due_);
   if (!resends_.empty()) wake = std::min(wake, resends_.front().at);
-  const Duration wait = std::max<Duration>(wake - now, Duration(1));
-  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
-  const itimerspec timer = {
-      {0, 0}, {static_cast<time_t>(seconds.count()), (wait - seconds).count()}};
-  timerfd_settime(timer_, 0, &timer, nullptr);
-  // libcurl's own wait counts in milliseconds; the timer is exact.
-  curl_waitfd timer_wait = {timer_, CURL_WAIT_POLLIN, 0};
-  const auto longest = static_cast<int>(kIdleWait.count());
-  curl_multi_poll(multi_, &timer_wait, 1, longest, nullptr);
+  return wake;
 }
 
 LoadWorker::LoadWorker(const LoadProfile& profile, int number, TimePoint start,
