Keep the parts of a request from changing one another

Header names must be tokens, so a name cannot hold a second header; a method keeps its token characters. The writing of requests moves to its own file.

--- a/heatherlatch/backend/backend_client_test.cc
+++ b/heatherlatch/backend/backend_client_test.cc
@@ -497,10 +497,14 @@
   request.body = "a=1";
   request.request_key = "key-1";
   request.target = "/a b\r\nX-Injected: 1";
-  request.headers = {
-      {"Connection", "X-Request-Hop"},  {"X-Request-Hop", "1"},
-      {"Transfer-Encoding", "chunked"}, {"Idempotency-Key", "forged"},
-      {"X-Bad", "a\r\nX-Injected: 1"},  {"X-Good", "yes"}};
+  request.headers = {{"Connection", "X-Request-Hop"},
+                     {"X-Request-Hop", "1"},
+                     {"Transfer-Encoding", "chunked"},
+                     {"Idempotency-Key", "forged"},
+                     {"X-Bad", "a\r\nX-Injected: 1"},
+                     {"X-Injected: 1, X-Bad", ""},
+                     {"X-Empty", ""},
+                     {"X-Good", "yes"}};
   const Received received = Call(&client, request);
   const std::string sent = head.get_future().get();
   CHECK(sent.rfind("POST /a%20b%0D%0AX-Injected:%201 HTTP/1.1\r\n", 0) == 0);
@@ -509,6 +513,7 @@
   CHECK(sent.find("forged") == std::string::npos);
   CHECK(sent.find("\nX-Injected") == std::string::npos);
   CHECK(sent.find("X-Good: yes\r\n") != std::string::npos);
+  CHECK(sent.find("X-Empty:\r\n") != std::string::npos);
   CHECK(sent.find("Content-Length: 3\r\n") != std::string::npos);
   CHECK(sent.find("Idempotency-Key: key-1\r\n") != std::string::npos);
   CHECK(sent.find("X-Request-Id: request-1\r\n") != std::string::npos);
--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -6,9 +6,10 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstdio>
 #include <utility>
 
+#include "heatherlatch/backend/internal/request_lines.h"
+
 namespace heatherlatch::internal {
 namespace {
 
@@ -24,79 +25,6 @@
   static_cast<void>(result);
 }
 
-bool HasForbiddenCharacter(std::string_view text) {
-  const auto has = [text](char c) {
-    return text.find(c) != std::string_view::npos;
-  };
-  return has('\r') || has('\n') || has('\0');
-}
-
-// Percent-encodes the bytes that a request target must not contain.
-std::string EncodeTarget(std::string_view target) {
-  std::string encoded;
-  encoded.reserve(target.size());
-  for (const char c : target) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (byte > 0x20 && byte < 0x7f) {
-      encoded += c;
-      continue;
-    }
-    char escape[4];
-    std::snprintf(escape, sizeof(escape), "%%%02X", byte);
-    encoded += escape;
-  }
-  if (encoded.empty() || encoded.front() != '/') encoded.insert(0, "/");
-  return encoded;
-}
-
-bool HasHeader(const HeaderList& headers, std::string_view name) {
-  return std::any_of(headers.begin(), headers.end(), [&](const auto& header) {
-    return EqualsIgnoringCase(header.first, name);
-  });
-}
-
-// Header lines in libcurl's form, in one block of memory.
-class HeaderLines {
- public:
-  explicit HeaderLines(const HeaderList& headers) {
-    for (const auto& [name, value] : headers) Add(name, value);
-    // An empty value suppresses a header that libcurl adds by itself.
-    if (!HasHeader(headers, "accept")) AddLine("Accept", ":", "");
-    if (!HasHeader(headers, "content-type")) AddLine("Content-Type", ":", "");
-    AddLine("Expect", ":", "");
-    Link();
-  }
-  HeaderLines(const HeaderLines&) = delete;
-  HeaderLines& operator=(const HeaderLines&) = delete;
-
-  curl_slist* get() { return nodes_.data(); }
-
- private:
-  void Add(const std::string& name, const std::string& value) {
-    if (HasForbiddenCharacter(name) || HasForbiddenCharacter(value)) return;
-    // libcurl writes "Name;" as a header with an empty value.
-    AddLine(name, value.empty() ? ";" : ": ", value);
-  }
-
-  void AddLine(std::string_view name, std::string_view separator,
-               std::string_view value) {
-    line_starts_.push_back(text_.size());
-    text_.append(name).append(separator).append(value).push_back('\0');
-  }
-
-  void Link() {
-    nodes_.resize(line_starts_.size());
-    for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      nodes_[i].data = text_.data() + line_starts_[i];
-      nodes_[i].next = i + 1 < nodes_.size() ? &nodes_[i + 1] : nullptr;
-    }
-  }
-
-  std::string text_;
-  std::vector<std::size_t> line_starts_;
-  std::vector<curl_slist> nodes_;
-};
-
 std::chrono::milliseconds PollTime(TimePoint now, TimePoint deadline) {
   const auto left =
       std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
@@ -255,7 +183,7 @@
 }
 
 void HttpConnection::SetMethod(const HttpRequest& request) {
-  const std::string& method = request.method;
+  const std::string method = MethodToken(request.method);
   curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, nullptr);
   curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);  // Also clears NOBODY.
   if (method == "HEAD") {
