Wire the final contracts of the key ring, hand-over and scheduler

The ring follows the membership before each heartbeat is answered, the list is noted with the time it was asked for, hand-over messages stay below the frame limit, decisions that Acquire or Cancel made due are given at once, and a probe that repeats what it said before no longer undoes what answers have shown.

--- a/heatherlatch/entry/control_loop.cc
+++ b/heatherlatch/entry/control_loop.cc
@@ -26,6 +26,8 @@
 constexpr auto kHandOverInterval = std::chrono::milliseconds(500);
 // Records of keys that one message hands over.
 constexpr std::size_t kKeysInMessage = 500;
+// Bytes of answers that one hand-over message holds, below the frame limit.
+constexpr std::size_t kAnswerBytesInMessage = 512 * 1024;
 
 std::variant<std::shared_ptr<const ObjectSet>, Rejected> CheckDocument(
     const ConfigurationDocument& document) {
@@ -66,6 +68,9 @@
       loop_->parts_.directory->OnLoad(report.group, report.load, now_);
     }
     loop_->OnPeerRevision(peer_, message.revision);
+    // A change of the membership has to end the support of the former ring
+    // before the next answer goes out.
+    loop_->UpdateRing(now_);
     HeartbeatAck ack;
     ack.sequence = message.sequence;
     ack.revision = loop_->keeper_.InForce();
@@ -286,7 +291,8 @@
   ReportMetrics(now);
 }
 
-void ControlLoop::SetServerList(const PlatformList& list, TimePoint now) {
+void ControlLoop::SetServerList(const PlatformList& list, TimePoint asked_at) {
+  const TimePoint now = SteadyClock::now();
   last_platform_read_ = now;
   std::set<BackendServerName> leaving;
   for (const ListedServer& server : list.servers) {
@@ -299,7 +305,7 @@
   for (const ListedHost& host : list.hosts) {
     if (host.region == self_.region) listed.push_back({host.name, 0});
   }
-  parts_.executor->NoteListed(listed, now);
+  parts_.executor->NoteListed(listed, asked_at);
   parts_.transport->SetTargets(membership_.LinkTargets());
 }
 
@@ -418,17 +424,24 @@
 }
 
 void ControlLoop::SendKeys(const HostIncarnation& heir) {
-  const std::vector<KeyRecord> records =
-      parts_.executor->ExportKeys(SteadyClock::now());
-  for (std::size_t first = 0; first < records.size(); first += kKeysInMessage) {
-    const std::size_t end = std::min(records.size(), first + kKeysInMessage);
-    KeyHandOver message;
-    message.from = self_.incarnation;
-    for (std::size_t i = first; i < end; ++i) {
-      message.records.push_back(records[i]);
-    }
+  KeyHandOver message;
+  message.from = self_.incarnation;
+  std::size_t bytes = 0;
+  for (KeyRecord& record : parts_.executor->ExportKeys(SteadyClock::now())) {
+    const std::size_t answer =
+        record.answer == nullptr ? 0 : record.answer->body.size();
+    // A long answer is left out; a repeat is then told that it has expired.
+    if (answer > kAnswerBytesInMessage) record.answer = nullptr;
+    bytes += std::min(answer, kAnswerBytesInMessage);
+    message.records.push_back(std::move(record));
+    const bool full = message.records.size() >= kKeysInMessage ||
+                      bytes >= kAnswerBytesInMessage;
+    if (!full) continue;
     parts_.transport->Send(heir, message);
+    message.records.clear();
+    bytes = 0;
   }
+  if (!message.records.empty()) parts_.transport->Send(heir, message);
   KeyHandOver last;
   last.from = self_.incarnation;
   last.last = true;
@@ -468,7 +481,7 @@
       const PlatformList& list = read.value();
       Post([this, list, asked] {
         NotePlatformContact(asked);
-        SetServerList(list, SteadyClock::now());
+        SetServerList(list, asked);
       });
     }
     // The reads of a zone together stay at a fixed rate.
--- a/heatherlatch/entry/control_loop.h
+++ b/heatherlatch/entry/control_loop.h
@@ -92,7 +92,8 @@
   void Tick(TimePoint now);
   void DetectPause(TimePoint now);
   void SendHeartbeats(TimePoint now);
-  void SetServerList(const PlatformList& list, TimePoint now);
+  // @param asked_at  when the list was asked for
+  void SetServerList(const PlatformList& list, TimePoint asked_at);
   void OnDocument(const ConfigurationDocument& document, TimePoint now);
   void OnPeerRevision(const HostIncarnation& peer, Revision revision);
   void NotePeerContact(TimePoint asked_at);
--- a/heatherlatch/entry/executor.cc
+++ b/heatherlatch/entry/executor.cc
@@ -306,7 +306,7 @@
   options.quiet_period = quiet_period;
   ring_.emplace(self_.incarnation, options, now);
   ring_->SetMembers(ring_members_, now);
-  if (!listed_.empty()) ring_->NoteListed(listed_, now);
+  if (!listed_.empty()) ring_->NoteListed(listed_, listed_at_);
 }
 
 void Executor::SetRing(const std::vector<HostIncarnation>& members,
@@ -317,10 +317,11 @@
 }
 
 void Executor::NoteListed(const std::vector<HostIncarnation>& listed,
-                          TimePoint now) {
+                          TimePoint asked_at) {
   std::lock_guard lock(mutex_);
   listed_ = listed;
-  if (ring_) ring_->NoteListed(listed, now);
+  listed_at_ = asked_at;
+  if (ring_) ring_->NoteListed(listed, asked_at);
 }
 
 void Executor::OnSupport(const HostIncarnation& peer, std::uint64_t ring,
--- a/heatherlatch/entry/executor.h
+++ b/heatherlatch/entry/executor.h
@@ -70,8 +70,10 @@
 
   // State of the key ring, driven by the control thread.
   void SetRing(const std::vector<HostIncarnation>& members, TimePoint now);
-  // @param listed  hosts of the region in the platform's list
-  void NoteListed(const std::vector<HostIncarnation>& listed, TimePoint now);
+  // @param listed    hosts of the region in the platform's list
+  // @param asked_at  when the list was asked for
+  void NoteListed(const std::vector<HostIncarnation>& listed,
+                  TimePoint asked_at);
   void OnSupport(const HostIncarnation& peer, std::uint64_t ring,
                  TimePoint asked_at);
   std::uint64_t SupportedRing(TimePoint now) const;
@@ -125,6 +127,7 @@
   Duration quiet_period_{};
   std::vector<HostIncarnation> ring_members_;
   std::vector<HostIncarnation> listed_;
+  TimePoint listed_at_;
   std::set<HostIncarnation> failed_imports_;
   bool keys_stopped_ = false;
   int key_runs_ = 0;
--- a/heatherlatch/entry/probe_runner.cc
+++ b/heatherlatch/entry/probe_runner.cc
@@ -67,11 +67,17 @@
   const ProbeResult result = backend_->Probe(server.endpoint, kProbeTimeout);
   metrics_->ProbeSent(service.probe_cost);
   // A server that cannot be reached is left to the evidence of calls.
+  if (!result.reachable) return;
   const bool accepts_work = !result.signs.draining;
-  if (result.reachable) {
-    slots_->ReportServer(group, server.name, accepts_work, result.signs.cold,
-                         result.signs.boot_id);
-  }
+  const bool is_same = accepts_work == record->accepted_work &&
+                       result.signs.cold == record->cold &&
+                       result.signs.boot_id == record->boot_id;
+  // A health page lags: what it repeats must not undo what answers have shown.
+  if (is_same) return;
+  slots_->ReportServer(group, server.name, accepts_work, result.signs.cold,
+                       result.signs.boot_id);
+  record->cold = result.signs.cold;
+  record->boot_id = result.signs.boot_id;
   if (accepts_work == record->accepted_work) return;
   record->accepted_work = accepts_work;
   log_->Write(accepts_work ? EventId::kServerAcceptingWork
@@ -86,7 +92,7 @@
   // A budget of server time: `probe_budget` seconds a second, one probe saved.
   const TokenBudget budget(service.probe_budget, Seconds(service.probe_cost),
                            now);
-  ServerRecord record{budget, now, true};
+  ServerRecord record{budget, now, true, false, std::nullopt};
   return &records_.emplace(server, record).first->second;
 }
 
--- a/heatherlatch/entry/probe_runner.h
+++ b/heatherlatch/entry/probe_runner.h
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -38,7 +39,9 @@
   struct ServerRecord {
     TokenBudget budget;
     TimePoint next_probe;
-    bool accepted_work = true;
+    bool accepted_work = true;  // As the last probe that was answered said.
+    bool cold = false;
+    std::optional<std::uint64_t> boot_id;
   };
 
   void Run();
--- a/heatherlatch/entry/slot_service.cc
+++ b/heatherlatch/entry/slot_service.cc
@@ -126,14 +126,18 @@
     }
   }
   answer(given);
+  AdvanceIfDue(owned.get());
   return 0;
 }
 
 void SlotService::Cancel(const GroupId& group, WaiterId waiter) {
   const GroupPointer owned = Find(group);
   if (owned == nullptr) return;
-  std::lock_guard lock(owned->mutex);
-  if (owned->waiting.erase(waiter) > 0) owned->scheduler.Cancel(waiter);
+  {
+    std::lock_guard lock(owned->mutex);
+    if (owned->waiting.erase(waiter) > 0) owned->scheduler.Cancel(waiter);
+  }
+  AdvanceIfDue(owned.get());
 }
 
 void SlotService::Release(const GroupId& group, GrantId grant,
@@ -178,6 +182,18 @@
   }
 }
 
+void SlotService::AdvanceIfDue(OwnedGroup* group) {
+  const TimePoint now = SteadyClock::now();
+  std::vector<DueAnswer> due;
+  {
+    std::lock_guard lock(group->mutex);
+    const auto deadline = group->scheduler.NextDeadline();
+    if (!deadline || *deadline > now) return;
+    due = Collect(group, group->scheduler.Advance(now));
+  }
+  Give(due);
+}
+
 std::vector<OwnedGroupStatus> SlotService::Owned() const {
   std::vector<OwnedGroupStatus> owned;
   std::shared_lock lock(groups_mutex_);
--- a/heatherlatch/entry/slot_service.h
+++ b/heatherlatch/entry/slot_service.h
@@ -108,6 +108,8 @@
   void GiveUp(const GroupId& id);
   void UpdateServers(const GroupId& id, std::vector<GroupServer> servers,
                      TimePoint now);
+  // Gives decisions that a call on the scheduler has made due.
+  static void AdvanceIfDue(OwnedGroup* group);
   static void NoteGrant(OwnedGroup* group, const Grant& grant);
   static void NoteEnd(OwnedGroup* group, GrantId grant,
                       const CallReport& report, TimePoint now);
