--- a/heatherlatch/entry/group_directory.cc
+++ b/heatherlatch/entry/group_directory.cc
@@ -47,10 +47,16 @@
   unresponsive_until_[peer] = now + kUnresponsiveTime;
 }
 
+void GroupDirectory::OnAsked(const GroupId& group) {
+  std::unique_lock lock(mutex_);
+  const auto known = loads_.find(group);
+  if (known != loads_.end()) ++known->second.asked_since;
+}
+
 void GroupDirectory::OnLoad(const GroupId& group, const GroupLoad& load,
                             TimePoint now) {
   std::unique_lock lock(mutex_);
-  loads_[group] = KnownLoad{load, now};
+  loads_[group] = KnownLoad{load, now, 0};
 }
 
 bool GroupDirectory::IsLinked(const HostIncarnation& peer) const {
@@ -110,6 +116,7 @@
   const auto known = loads_.find(group);
   if (known != loads_.end()) {
     route.candidate.load = known->second.load;
+    route.candidate.load->granted += known->second.asked_since;
     route.candidate.load_age = now - known->second.reported_at;
   }
   return route;
--- a/heatherlatch/entry/group_directory.h
+++ b/heatherlatch/entry/group_directory.h
@@ -38,6 +38,10 @@
   // `kUnresponsiveTime`.
   void OnUnresponsive(const HostIncarnation& peer, TimePoint now);
 
+  // Records that a slot of a group was asked for. Until the owner's next report
+  // it counts as granted, so that one host does not send a burst to one group.
+  void OnAsked(const GroupId& group);
+
   // Records the load of a group as its owner reported it.
   void OnLoad(const GroupId& group, const GroupLoad& load, TimePoint now);
 
@@ -56,6 +60,7 @@
   struct KnownLoad {
     GroupLoad load;
     TimePoint reported_at;
+    int asked_since = 0;
   };
 
   Distance DistanceTo(const AvailabilityZone& zone) const;
--- a/heatherlatch/entry/probe_runner.cc
+++ b/heatherlatch/entry/probe_runner.cc
@@ -5,7 +5,7 @@
 namespace heatherlatch {
 namespace {
 
-constexpr auto kTick = std::chrono::milliseconds(20);
+constexpr auto kTick = std::chrono::milliseconds(100);
 constexpr auto kProbeTimeout = std::chrono::milliseconds(500);
 
 double Seconds(Duration duration) {
--- a/heatherlatch/entry/slot_client.cc
+++ b/heatherlatch/entry/slot_client.cc
@@ -90,6 +90,7 @@
   const TimePoint patience_end =
       is_last ? need.deadline
               : std::min(need.deadline, SteadyClock::now() + kGroupPatience);
+  directory_->OnAsked(route.candidate.group);
   if (route.owner == self_) return AskSelf(route, need, patience_end);
   return AskPeer(route, need, patience_end);
 }
--- a/heatherlatch/peer/transport.cc
+++ b/heatherlatch/peer/transport.cc
@@ -78,8 +78,8 @@
 // The library finds the byte order on first use, without a lock; this uses it
 // once before any thread does.
 void InitialiseByteOrder() {
-  static const auto kIgnored = websocketpp::lib::net::_htonll(0);
-  static_cast<void>(kIgnored);
+  static const auto ignored = websocketpp::lib::net::_htonll(0);
+  static_cast<void>(ignored);
 }
 
 bool SamePlace(const HostDescription& a, const HostDescription& b) {
