Test that bad input is answered and disturbs nothing else

A head above 32 KiB gets 431, a body above the bound 413, dot segments 400; the host serves the next request. The 431 comes from the HTTP library and carries no typed reason.

--- a/tests/answer_process_test.cc
+++ b/tests/answer_process_test.cc
@@ -131,6 +131,32 @@
   CHECK(elsewhere.Outcome() == "unknown");
 }
 
+TEST_CASE("bad input is answered and disturbs nothing else") {
+  LocalDeployment deployment;
+  deployment.StartAll();
+  HttpCall call;
+  call.target = "/reads/x";
+  SECTION("a head that is too large") {
+    call.headers = {"X-Filler: " + std::string(60000, 'x')};
+    CHECK(deployment.Send(0, call).status == 431);
+  }
+  SECTION("a body that is too large") {
+    call.method = "POST";
+    call.target = "/writes/x";
+    call.headers = {"Idempotency-Key: large"};
+    call.body = std::string(3000000, 'x');
+    CHECK(deployment.Send(0, call).status == 413);
+    CHECK(deployment.RunsOf("large").empty());
+  }
+  SECTION("a path with dot segments") {
+    call.target = "/reads/%2e%2e/writes";
+    const HttpReply reply = deployment.Send(0, call);
+    CHECK(reply.status == 400);
+    CHECK(reply.body.find("segment") != std::string::npos);
+  }
+  CHECK(deployment.Read(0).Outcome() == "ran");
+}
+
 TEST_CASE("a request is served in its home regions only", "[promise-04]") {
   LocalDeployment deployment;
   deployment.StartAll();
