Keep one check for a region in a list of home regions

The same function stood in executor, group_directory and request_routing. Also a comment promised a random delay that the code does not add.

--- a/heatherlatch/entry/control_loop.cc
+++ b/heatherlatch/entry/control_loop.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <future>
-#include <random>
 #include <utility>
 
 #include "heatherlatch/objects/check.h"
@@ -17,7 +16,7 @@
 constexpr auto kPauseThreshold = std::chrono::milliseconds(750);
 constexpr auto kIsolationLimit = std::chrono::milliseconds(2500);
 constexpr auto kPlatformTimeout = std::chrono::seconds(2);
-// Delay after a failed read of the platform, with as much again at random.
+// Delay after a failed read of the platform.
 constexpr auto kPlatformRetryDelay = std::chrono::milliseconds(500);
 // Hosts of a zone that read the platform for all of them.
 constexpr std::size_t kReadersOfZone = 2;
--- a/heatherlatch/entry/executor.cc
+++ b/heatherlatch/entry/executor.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "heatherlatch/entry/content_digest.h"
+#include "heatherlatch/entry/internal/region_list.h"
 
 namespace heatherlatch {
 namespace {
@@ -69,11 +70,6 @@
   std::shared_ptr<StoredAnswer> answer_ = std::make_shared<StoredAnswer>();
 };
 
-bool Contains(const std::vector<RegionName>& regions,
-              const RegionName& region) {
-  return std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
 }  // namespace
 
 Executor::Executor(HostDescription self, const SnapshotCell* snapshots,
--- a/heatherlatch/entry/group_directory.cc
+++ b/heatherlatch/entry/group_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/entry/internal/region_list.h"
 #include "heatherlatch/placement/group_owner.h"
 
 namespace heatherlatch {
@@ -11,11 +12,6 @@
 // How long a peer that did not answer is passed over.
 constexpr auto kUnresponsiveTime = std::chrono::seconds(1);
 
-bool Contains(const std::vector<RegionName>& regions,
-              const RegionName& region) {
-  return std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
 std::set<ZoneName> ZonesOf(const Service& service) {
   std::set<ZoneName> zones;
   for (const BackendServer& server : service.servers) {
--- a/heatherlatch/entry/request_routing.cc
+++ b/heatherlatch/entry/request_routing.cc
@@ -4,16 +4,13 @@
 #include <charconv>
 #include <utility>
 
+#include "heatherlatch/entry/internal/region_list.h"
+
 namespace heatherlatch {
 namespace {
 
 constexpr std::size_t kMaxRequestIdBytes = 128;
 
-bool Contains(const std::vector<RegionName>& regions,
-              const RegionName& region) {
-  return std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
 std::string LowerCase(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(),
