--- /dev/null
+++ b/heatherlatch/fleet/load_reading.h
@@ -0,0 +1,16 @@
+// What a backend server says of its own load.
+#ifndef HEATHERLATCH_FLEET_LOAD_READING_H_
+#define HEATHERLATCH_FLEET_LOAD_READING_H_
+
+namespace heatherlatch {
+
+struct LoadReading {
+  int running = 0;
+  int waiting = 0;
+  int slots = 1;
+  double slowness = 1;  // How long work takes; 1 is the usual time.
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_FLEET_LOAD_READING_H_
--- /dev/null
+++ b/heatherlatch/fleet/server_directory.cc
@@ -0,0 +1,83 @@
+#include "heatherlatch/fleet/server_directory.h"
+
+#include <utility>
+
+namespace heatherlatch {
+
+void ServerDirectory::Put(const ServerRecord& record, TimePoint now) {
+  ServerEntry& entry = entries_[record.name];
+  if (record.started_at_ms < entry.record.started_at_ms) return;
+  entry.record = record;
+  entry.cold_until = now + record.cold_remaining;
+  entry.missing_until.reset();
+}
+
+void ServerDirectory::Remove(const BackendServerName& name) {
+  entries_.erase(name);
+}
+
+void ServerDirectory::MarkMissing(const BackendServerName& name,
+                                  TimePoint until) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end() || found->second.missing_until) return;
+  found->second.missing_until = until;
+}
+
+void ServerDirectory::ReplaceAll(const std::vector<ServerRecord>& records,
+                                 Duration grace, TimePoint now) {
+  std::set<BackendServerName> listed;
+  for (const ServerRecord& record : records) {
+    listed.insert(record.name);
+    Put(record, now);
+  }
+  for (auto& [name, entry] : entries_) {
+    if (listed.count(name) == 0 && !entry.missing_until) {
+      entry.missing_until = now + grace;
+    }
+  }
+  Expire(now);
+}
+
+void ServerDirectory::Expire(TimePoint now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const std::optional<TimePoint>& until = it->second.missing_until;
+    it = until && *until <= now ? entries_.erase(it) : std::next(it);
+  }
+}
+
+void ServerDirectory::SetZoneInService(const ZoneName& zone, bool in_service) {
+  if (in_service) {
+    zones_out_.erase(zone);
+  } else {
+    zones_out_.insert(zone);
+  }
+}
+
+void ServerDirectory::ReplaceZonesOut(std::set<ZoneName> zones) {
+  zones_out_ = std::move(zones);
+}
+
+std::vector<const ServerEntry*> ServerDirectory::Usable(
+    const ServiceName& service, TimePoint now) const {
+  std::vector<const ServerEntry*> usable;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.record.service == service && IsUsable(entry, now)) {
+      usable.push_back(&entry);
+    }
+  }
+  return usable;
+}
+
+const ServerEntry* ServerDirectory::FindUsable(const BackendServerName& name,
+                                               TimePoint now) const {
+  const auto found = entries_.find(name);
+  if (found == entries_.end() || !IsUsable(found->second, now)) return nullptr;
+  return &found->second;
+}
+
+bool ServerDirectory::IsUsable(const ServerEntry& entry, TimePoint now) const {
+  return !entry.record.draining && zones_out_.count(entry.record.zone) == 0 &&
+         (!entry.missing_until || now < *entry.missing_until);
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/routing/route_table.cc
@@ -0,0 +1,46 @@
+#include "heatherlatch/routing/route_table.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace heatherlatch {
+namespace {
+
+bool IsSameAuthority(std::string_view asked, std::string_view published) {
+  if (boost::algorithm::iequals(asked, published)) return true;
+  const std::size_t colon = asked.rfind(':');
+  return colon != std::string_view::npos &&
+         boost::algorithm::iequals(asked.substr(0, colon), published);
+}
+
+}  // namespace
+
+const TrafficRoute* RouteTable::Find(std::string_view authority,
+                                     std::string_view target) const {
+  const std::string_view path = target.substr(0, target.find('?'));
+  const TrafficRoute* best = nullptr;
+  for (const TrafficRoute& route : routes) {
+    if (path.substr(0, route.path_prefix.size()) != route.path_prefix) continue;
+    if (best != nullptr &&
+        best->path_prefix.size() >= route.path_prefix.size()) {
+      continue;
+    }
+    if (IsSameAuthority(authority, route.authority)) best = &route;
+  }
+  return best;
+}
+
+const RoutePart* ChoosePart(const TrafficRoute& route, double point) {
+  double total = 0;
+  for (const RoutePart& part : route.parts) total += part.weight;
+  double left = point * total;
+  const RoutePart* last = nullptr;
+  for (const RoutePart& part : route.parts) {
+    if (part.weight <= 0) continue;
+    last = &part;
+    left -= part.weight;
+    if (left < 0) break;
+  }
+  return last;
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -0,0 +1,87 @@
+#include "heatherlatch/settings/traffic_host_settings.h"
+
+#include <utility>
+
+#include "heatherlatch/yaml/document.h"
+#include "heatherlatch/yaml/mapping_reader.h"
+
+namespace heatherlatch {
+namespace {
+
+constexpr auto kRequired = Presence::kRequired;
+constexpr auto kOptional = Presence::kOptional;
+
+constexpr Range<Duration> kStopWaitRange{std::chrono::seconds(1),
+                                         std::chrono::hours(2)};
+constexpr Range<double> kRetryShareRange{0, 1};
+constexpr Range<double> kRetryReserveRange{0, 1e6};
+
+void ReadZones(MappingReader* reader, TrafficHostSettings* settings) {
+  const std::optional<YAML::Node> zones = reader->Mapping("zones", kRequired);
+  if (!zones) return;
+  for (const auto& zone : *zones) {
+    if (!zone.first.IsScalar() || !zone.second.IsScalar()) {
+      reader->Report(FindingKind::kWrongType, "zones",
+                     "an entry is not a zone name with its region's name");
+      continue;
+    }
+    settings->zones[ZoneName(zone.first.Scalar())] =
+        RegionName(zone.second.Scalar());
+  }
+}
+
+void ReadSeeds(MappingReader* reader, TrafficHostSettings* settings) {
+  const auto seeds = reader->TextList("seeds", kOptional);
+  if (!seeds) return;
+  for (const std::string& seed : *seeds) {
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(endpoint, ParseEndpoint(seed));
+          settings->seeds.push_back(endpoint);
+          return {};
+        },
+        [&](const EndpointError& error) {
+          reader->Report(FindingKind::kWrongType, "seeds", ToString(error));
+        },
+        [&] {
+          reader->Report(FindingKind::kWrongType, "seeds",
+                         "\"" + seed + "\" is not an endpoint");
+        });
+  }
+}
+
+}  // namespace
+
+std::variant<TrafficHostSettings, std::vector<Finding>> ReadTrafficHostSettings(
+    std::string_view yaml) {
+  ReadContext context;
+  const std::optional<YAML::Node> top = LoadDocument(yaml, &context.findings);
+  if (!top) return std::move(context.findings);
+  MappingReader reader(*top, "settings", &context);
+  TrafficHostSettings settings;
+  AssignIfPresent(reader.Text("host", kRequired), &settings.name);
+  AssignIfPresent(reader.Text("region", kRequired), &settings.region);
+  AssignIfPresent(reader.Text("zone", kRequired), &settings.zone);
+  AssignIfPresent(reader.Address("caller_listen", kRequired),
+                  &settings.caller_listen);
+  AssignIfPresent(reader.Address("readiness_listen", kRequired),
+                  &settings.readiness_listen);
+  AssignIfPresent(reader.Address("peer_listen", kOptional),
+                  &settings.peer_listen);
+  AssignIfPresent(reader.Address("metrics_listen", kOptional),
+                  &settings.metrics_listen);
+  AssignIfPresent(reader.Address("platform", kRequired), &settings.platform);
+  ReadSeeds(&reader, &settings);
+  ReadZones(&reader, &settings);
+  AssignIfPresent(reader.Time("stop_wait", kOptional, kStopWaitRange),
+                  &settings.stop_wait);
+  AssignIfPresent(reader.Number("retry_share", kOptional, kRetryShareRange),
+                  &settings.retry_share);
+  AssignIfPresent(reader.Number("retry_reserve", kOptional, kRetryReserveRange),
+                  &settings.retry_reserve);
+  reader.Finish();
+  if (!context.findings.empty()) return std::move(context.findings);
+  return settings;
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/steering/steering.h
@@ -0,0 +1,102 @@
+// Chooses the backend server that a request is sent to.
+//
+// Load this answers: servers whose speed changes within milliseconds, so that
+// any report is stale by the time it is used. A host asks a few drawn
+// candidates for their load just before it sends, and takes the one with the
+// shortest expected time. The choice shares nothing between hosts and goes on
+// unchanged when hosts die or are cut off.
+//
+// Example:
+//   std::vector<Candidate> drawn = DrawCandidates(all, kCandidatesAsked, &rng);
+//   ... ask each of them, and set its reading ...
+//   Choice choice = ChooseServer(drawn, work);
+//
+// Thread safety: pure functions. Reads no clock.
+#ifndef HEATHERLATCH_STEERING_STEERING_H_
+#define HEATHERLATCH_STEERING_STEERING_H_
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <vector>
+
+#include "heatherlatch/base/time.h"
+#include "heatherlatch/fleet/load_reading.h"
+#include "heatherlatch/fleet/server_directory.h"
+
+namespace heatherlatch {
+
+enum class Distance { kSameZone, kSameRegion, kOtherRegion };
+
+struct Candidate {
+  ServerRecord server;
+  Distance distance = Distance::kSameZone;
+  bool cold = false;
+  bool failed_lately = false;
+  std::optional<LoadReading> reading;  // Absent: it did not answer in time.
+  int sent_since_reading = 0;  // By this host, and not in the reading.
+};
+
+// What is expected of a request.
+struct ExpectedWork {
+  Duration service_time{};    // On an idle server at its usual speed.
+  double answer_bytes = 0;
+  Duration latency_target{};  // Measures what traffic between zones costs.
+};
+
+// Time on the way there and back.
+// Source: the sheets of the users' deployments, 0.9 ms and 30 ms one way.
+inline constexpr Duration kRoundTripInZone = std::chrono::microseconds(400);
+inline constexpr Duration kRoundTripInRegion = std::chrono::microseconds(1800);
+inline constexpr Duration kRoundTripBetweenRegions =
+    std::chrono::milliseconds(60);
+
+// A share of slots above which servers get slower, and by how much.
+// Source: the users' workers that "slow down when they are nearly full".
+inline constexpr double kNearlyFullShare = 0.8;
+inline constexpr double kNearlyFullFactor = 1.5;
+
+// How much longer work takes on a server in cold start.
+// Source: the users' site files.
+inline constexpr double kColdFactor = 2.0;
+
+// The bytes of an answer whose crossing of a zone costs as much as missing the
+// latency target. Source: the users' prices for traffic between zones.
+inline constexpr double kBytesWorthTheTarget = 100'000;
+// Traffic between regions costs this much more than between zones.
+// Source: the users' prices.
+inline constexpr double kRegionCrossingFactor = 3.0;
+
+// @return when an answer of the candidate is expected, counted from now, with
+//     what the crossing of zones costs added
+Duration ExpectedCost(const Candidate& candidate, const ExpectedWork& work);
+
+// @return when an answer of the candidate is expected, counted from now
+Duration ExpectedTime(const Candidate& candidate, const ExpectedWork& work);
+
+// Draws at most `count` candidates at random: those of the own zone first, then
+// those of the region, and others only where the region has none.
+std::vector<Candidate> DrawCandidates(std::vector<Candidate> all,
+                                      std::size_t count, std::mt19937_64* rng);
+
+enum class Vacancy {
+  kFree,  // A slot is free.
+  kFull,  // All slots are taken; a request sent now waits at the server.
+};
+
+struct Choice {
+  std::size_t index = 0;  // Of the candidates.
+  Duration expected{};
+  Vacancy vacancy = Vacancy::kFree;
+};
+
+// @return the candidate with the lowest cost; those that failed lately or did
+//     not answer come last; nothing where there is no candidate, or only cold
+//     ones that already have work
+std::optional<Choice> ChooseServer(const std::vector<Candidate>& candidates,
+                                   const ExpectedWork& work);
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_STEERING_STEERING_H_
--- /dev/null
+++ b/heatherlatch/traffic/client_connection.cc
@@ -0,0 +1,207 @@
+#include "heatherlatch/traffic/client_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace heatherlatch {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+// Keep-alive probes of an idle connection: first after a second, then each
+// second; two without an answer end it. Source: the platform's rules count on
+// three to four seconds until a dead path is noticed.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+// How long sent bytes may stay unacknowledged. Source: as above.
+constexpr unsigned kUnacknowledgedMilliseconds = 2500;
+
+void SetOption(int socket, int level, int name, int value) {
+  // A kernel that lacks an option leaves its own, longer limit in force.
+  (void)::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+void SetLivenessOptions(asio::ip::tcp::socket* socket) {
+  const int handle = socket->native_handle();
+  SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kUnacknowledgedMilliseconds));
+}
+
+std::shared_ptr<ClientConnection> ClientConnection::Open(
+    asio::io_context* io, const Endpoint& endpoint) {
+  std::shared_ptr<ClientConnection> connection(
+      new ClientConnection(io, endpoint));
+  connection->Connect();
+  return connection;
+}
+
+void ClientConnection::Connect() {
+  error_code error;
+  const auto address = asio::ip::make_address(endpoint_.address, error);
+  if (!error) socket_.open(asio::ip::tcp::v4(), error);
+  if (error) {
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), error] { self->OnConnected(error); });
+    return;
+  }
+  SetLivenessOptions(&socket_);
+  socket_.async_connect(
+      {address, endpoint_.port},
+      [self = shared_from_this()](const error_code& connect_error) {
+        self->OnConnected(connect_error);
+      });
+}
+
+void ClientConnection::OnConnected(const error_code& error) {
+  if (!open_) return;
+  if (error) {
+    Close();
+    Finish(NotSent{"connect: " + error.message()});
+    return;
+  }
+  connected_ = true;
+  if (done_) WriteRequest();
+  ReadSome();
+}
+
+void ClientConnection::Call(std::string request, bool is_head, CallDone done) {
+  request_ = std::move(request);
+  done_ = std::move(done);
+  request_started_ = false;
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->body_limit(kMaxAnswerBytes);
+  parser_->skip(is_head);
+  if (!open_) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Finish(NotSent{"the connection is closed"});
+    });
+    return;
+  }
+  if (connected_) WriteRequest();
+}
+
+void ClientConnection::WriteRequest() {
+  request_started_ = true;
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(request_),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->writing_ = false;
+        if (error && self->open_) self->OnEnd("write: " + error.message());
+      });
+}
+
+void ClientConnection::ReadSome() {
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const error_code& error, std::size_t size) {
+        self->OnRead(error, size);
+      });
+}
+
+void ClientConnection::OnRead(const error_code& error, std::size_t size) {
+  if (!open_) return;
+  if (error) {
+    const bool clean_end = error == asio::error::eof;
+    if (clean_end && done_ && parser_->got_some() && !parser_->is_done()) {
+      error_code parse_error;
+      parser_->put_eof(parse_error);
+      if (!parse_error && parser_->is_done()) {
+        Close();
+        FinishAnswer();
+        return;
+      }
+    }
+    OnEnd("read: " + error.message());
+    return;
+  }
+  buffer_.commit(size);
+  if (!done_ || !request_started_) {
+    OnEnd("bytes that belong to no request");
+    return;
+  }
+  ParseAnswer();
+  if (open_) ReadSome();
+}
+
+void ClientConnection::ParseAnswer() {
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) return;
+    if (error) {
+      OnEnd("answer: " + error.message());
+      return;
+    }
+    const unsigned status =
+        parser_->is_header_done() ? parser_->get().result_int() : 0;
+    if (parser_->is_done() && status >= 100 && status < 200) {
+      const bool head = parser_->skip();
+      parser_ = std::make_unique<Parser>();
+      parser_->eager(true);
+      parser_->body_limit(kMaxAnswerBytes);
+      parser_->skip(head);
+    }
+    if (used == 0) return;
+  }
+  if (parser_->is_done()) FinishAnswer();
+}
+
+void ClientConnection::FinishAnswer() {
+  // After an early answer the rest of the request is still due on the
+  // connection, so it cannot carry another one.
+  const bool keep =
+      parser_->keep_alive() && buffer_.size() == 0 && !writing_;
+  if (!keep) Close();
+  Finish(ServerAnswer{parser_->release()});
+}
+
+void ClientConnection::OnEnd(const std::string& problem) {
+  const bool sent = request_started_;
+  Close();
+  if (sent) {
+    Finish(NoAnswer{problem});
+  } else {
+    Finish(NotSent{problem});
+  }
+}
+
+void ClientConnection::Finish(CallResult result) {
+  idle_since_ = SteadyClock::now();
+  request_started_ = false;
+  CallDone done = std::move(done_);
+  done_ = nullptr;
+  if (done) done(std::move(result));
+}
+
+void ClientConnection::Cancel() {
+  done_ = nullptr;
+  Close();
+}
+
+void ClientConnection::Close() {
+  if (!open_) return;
+  open_ = false;
+  error_code ignored;  // The connection is given up in any case.
+  socket_.close(ignored);
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/decision_log.cc
@@ -0,0 +1,98 @@
+#include "heatherlatch/traffic/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+
+namespace heatherlatch {
+namespace {
+
+// Lines are written when this much waits, or when the log is flushed.
+constexpr std::size_t kWriteBytes = 16 * 1024;
+
+void AppendText(std::string_view text, std::string* out) {
+  *out += '"';
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      *out += '\\';
+      *out += c;
+    } else if (static_cast<unsigned char>(c) < 0x20) {
+      char escaped[8];
+      std::snprintf(escaped, sizeof(escaped), "\\u%04x", c);
+      *out += escaped;
+    } else {
+      *out += c;
+    }
+  }
+  *out += '"';
+}
+
+void AppendNumber(double number, std::string* out) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.10g", number);
+  *out += text;
+}
+
+void AppendLine(std::string_view event,
+                std::initializer_list<DecisionLog::Field> fields,
+                std::string* out) {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  *out += "{\"at_ms\":" + std::to_string(now.count()) + ",\"event\":";
+  AppendText(event, out);
+  for (const auto& [name, value] : fields) {
+    *out += ',';
+    AppendText(name, out);
+    *out += ':';
+    if (const auto* text = std::get_if<std::string_view>(&value)) {
+      AppendText(*text, out);
+    } else {
+      AppendNumber(std::get<double>(value), out);
+    }
+  }
+  *out += "}\n";
+}
+
+}  // namespace
+
+DecisionLog::DecisionLog(int descriptor, std::size_t max_waiting)
+    : descriptor_(descriptor), max_waiting_(max_waiting) {
+  const int flags = ::fcntl(descriptor, F_GETFL, 0);
+  // Where the descriptor cannot be set, writing may wait for the reader.
+  if (flags >= 0) ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void DecisionLog::Write(std::string_view event,
+                        std::initializer_list<Field> fields) {
+  if (waiting_.size() >= max_waiting_) {
+    Flush();
+    if (waiting_.size() >= max_waiting_) {
+      ++left_out_;
+      ++left_out_total_;
+      return;
+    }
+  }
+  NoteLeftOut();
+  AppendLine(event, fields, &waiting_);
+  if (waiting_.size() >= kWriteBytes) Flush();
+}
+
+void DecisionLog::NoteLeftOut() {
+  if (left_out_ == 0) return;
+  const double count = static_cast<double>(left_out_);
+  left_out_ = 0;
+  AppendLine("lines-left-out", {{"count", count}}, &waiting_);
+}
+
+void DecisionLog::Flush() {
+  while (!waiting_.empty()) {
+    const ssize_t written =
+        ::write(descriptor_, waiting_.data(), waiting_.size());
+    if (written <= 0) return;
+    waiting_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/exchange.cc
@@ -0,0 +1,480 @@
+#include "heatherlatch/traffic/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/server_fields.h"
+
+namespace heatherlatch {
+namespace {
+
+// Candidates asked before a request is sent. Source: the measured start of the
+// platform's days, where six served more than three.
+constexpr std::size_t kCandidatesAsked = 6;
+
+// How old a reading may be to stand for a question. Source: a third of the way
+// between zones.
+constexpr Duration kReadingMaxAge = std::chrono::milliseconds(1);
+
+// How long answers to questions are waited for. Source: several times the way
+// there and back and the longest probe on the users' sheets.
+constexpr Duration kAskLimitInRegion = std::chrono::milliseconds(25);
+constexpr Duration kAskLimitBetweenRegions = std::chrono::milliseconds(95);
+
+// Kept for the way back to the caller. Source: twice the way on the sheets.
+constexpr Duration kWayToCaller = std::chrono::milliseconds(16);
+
+// The wait of a caller that names none, where its route has no timeout.
+constexpr Duration kDefaultWait = std::chrono::seconds(30);
+
+// A second send starts when the first takes this much longer than expected.
+// Source: beyond three standard deviations of service times on the sheets.
+constexpr double kLateFactor = 1.6;
+constexpr Duration kLateMargin = std::chrono::milliseconds(15);
+
+enum Status : unsigned {
+  kBadRequest = 400,
+  kNotFound = 404,
+  kBadGateway = 502,
+  kServiceUnavailable = 503,
+  kGatewayTimeout = 504,
+};
+
+bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
+bool IsServerFailure(unsigned status) { return status >= 500; }
+
+}  // namespace
+
+Exchange::Exchange(TrafficContext* context, LoadAsker* asker,
+                   CallerRequest request, Done done)
+    : context_(context),
+      asker_(asker),
+      request_(std::move(request)),
+      done_(std::move(done)),
+      routes_(context->routes),
+      give_up_timer_(*context->io),
+      step_timer_(*context->io) {}
+
+void Exchange::Start() {
+  if (!routes_) {
+    RefuseNotRun(NotRunReason::kConfigurationUnavailable, kRetryAfter);
+    return;
+  }
+  if (request_.request_id.empty()) {
+    AnswerItself(kBadRequest, "refused",
+                 ToString(NotRunReason::kMalformedRequest), std::nullopt);
+    return;
+  }
+  route_ = routes_->Find(request_.authority, request_.target);
+  if (route_ == nullptr) {
+    AnswerItself(kNotFound, "refused", ToString(NotRunReason::kNoRoute),
+                 std::nullopt);
+    return;
+  }
+  const double point =
+      std::uniform_real_distribution<double>(0, 1)(context_->rng);
+  const RoutePart* part = ChoosePart(*route_, point);
+  if (part == nullptr) {
+    RefuseNotRun(NotRunReason::kNoServer, kRetryAfter);
+    return;
+  }
+  service_ = part->service;
+  context_->Retries(service_).OnSuccess();
+  ArmGiveUp();
+  Ask(Purpose::kAnswer);
+}
+
+void Exchange::ArmGiveUp() {
+  Duration wait = request_.wait.value_or(kDefaultWait) - kWayToCaller;
+  if (route_->timeout) wait = std::min(wait, *route_->timeout);
+  give_up_at_ = request_.read_at + wait;
+  give_up_timer_.expires_at(give_up_at_);
+  give_up_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error) self->OnGiveUp();
+      });
+}
+
+std::vector<Candidate> Exchange::Eligible() const {
+  const TimePoint now = SteadyClock::now();
+  std::vector<Candidate> eligible;
+  for (const ServerEntry* entry : context_->directory.Usable(service_, now)) {
+    const ServerRecord& server = entry->record;
+    if (used_.count(server.name) > 0) continue;
+    if (!context_->IsHome(*route_, server.zone)) continue;
+    Candidate candidate;
+    candidate.server = server;
+    candidate.distance = context_->DistanceTo(server.zone);
+    candidate.cold = now < entry->cold_until ||
+                     context_->observations.IsCold(server.name, now);
+    if (candidate.cold &&
+        !context_->observations.MaySendCold(server.name, now)) {
+      continue;
+    }
+    candidate.failed_lately =
+        context_->observations.FailedLately(server.name, now);
+    eligible.push_back(std::move(candidate));
+  }
+  return eligible;
+}
+
+void Exchange::Ask(Purpose purpose) {
+  const std::size_t round = ++round_;
+  purpose_ = purpose;
+  candidates_ = DrawCandidates(Eligible(), kCandidatesAsked, &context_->rng);
+  replies_missing_ = candidates_.size();
+  if (candidates_.empty()) {
+    Place(purpose);
+    return;
+  }
+  const bool far = candidates_.front().distance == Distance::kOtherRegion;
+  step_timer_.expires_after(far ? kAskLimitBetweenRegions : kAskLimitInRegion);
+  step_timer_.async_wait([self = shared_from_this(), round, purpose](
+                             const boost::system::error_code& error) {
+    if (!error && round == self->round_) self->Place(purpose);
+  });
+  const std::vector<Candidate> asked = candidates_;
+  for (std::size_t i = 0; i < asked.size(); ++i) {
+    const BackendServerName& name = asked[i].server.name;
+    const auto known = context_->observations.Reading(name, kReadingMaxAge,
+                                                      SteadyClock::now());
+    if (known) {
+      OnReply(round, i, {Health::kWell, known, asked[i].cold});
+      continue;
+    }
+    asker_->Ask(asked[i].server, [self = shared_from_this(), round,
+                                  i](const LoadReply& reply) {
+      self->OnReply(round, i, reply);
+    });
+  }
+}
+
+void Exchange::OnReply(std::size_t round, std::size_t index,
+                       const LoadReply& reply) {
+  if (finished_ || round != round_) return;
+  Candidate& candidate = candidates_[index];
+  candidate.reading = reply.reading;
+  candidate.cold = candidate.cold || reply.cold;
+  if (reply.health == Health::kWell && !candidate.reading) {
+    candidate.reading = LoadReading{0, 0, candidate.server.slots, 1};
+  }
+  if (reply.health != Health::kWell) candidate.failed_lately = true;
+  if (--replies_missing_ == 0) Place(purpose_);
+}
+
+void Exchange::Place(Purpose purpose) {
+  if (finished_) return;
+  ++round_;
+  step_timer_.cancel();
+  const TimePoint now = SteadyClock::now();
+  for (Candidate& candidate : candidates_) {
+    candidate.sent_since_reading =
+        context_->observations.SentSinceReading(candidate.server.name);
+  }
+  // Servers that left, and zones taken out, while the questions were open.
+  candidates_.erase(
+      std::remove_if(candidates_.begin(), candidates_.end(),
+                     [&](const Candidate& candidate) {
+                       return context_->directory.FindUsable(
+                                  candidate.server.name, now) == nullptr;
+                     }),
+      candidates_.end());
+  const ExpectedWork work = context_->statistics.Expect(*route_);
+  const std::optional<Choice> choice = ChooseServer(candidates_, work);
+  if (purpose == Purpose::kSecondSend) {
+    PlaceSecond(choice);
+    return;
+  }
+  const PlacementState state{Waited(), route_->latency_target, TimeLeft(),
+                             work.service_time};
+  const PatienceVerdict verdict = Decide(choice, state);
+  if (std::holds_alternative<SendNow>(verdict)) {
+    Send(candidates_[choice->index], choice->expected);
+  } else if (const auto* again = std::get_if<AskAgain>(&verdict)) {
+    step_timer_.expires_after(again->after);
+    step_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && !self->finished_) self->Ask(Purpose::kAnswer);
+        });
+  } else if (may_have_run_) {
+    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+  } else {
+    RefuseNotRun(choice ? NotRunReason::kQueueFull : NotRunReason::kNoServer,
+                 std::get<Refuse>(verdict).retry_after);
+  }
+}
+
+void Exchange::PlaceSecond(const std::optional<Choice>& choice) {
+  // The first attempt may have ended, with a failure, while servers were asked.
+  if (attempts_.empty()) {
+    if (choice) {
+      Send(candidates_[choice->index], choice->expected);
+    } else {
+      FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+    }
+    return;
+  }
+  if (!choice || choice->vacancy == Vacancy::kFull) return;
+  if (Waited() + choice->expected + kWayToCaller > route_->latency_target) {
+    return;
+  }
+  if (!context_->Retries(service_).TryRetry()) return;
+  context_->metrics.Count("sends", "second");
+  Send(candidates_[choice->index], choice->expected);
+}
+
+void Exchange::Send(const Candidate& candidate, Duration expected) {
+  const TimePoint now = SteadyClock::now();
+  const ServerRecord& server = candidate.server;
+  auto attempt = std::make_shared<Attempt>();
+  attempt->server = server;
+  attempt->sent_at = now;
+  attempt->slowness = candidate.reading ? candidate.reading->slowness : 1;
+  attempt->connection = context_->connections.Take(
+      server.endpoint, !route_->idempotent, now);
+  attempts_.push_back(attempt);
+  used_.insert(server.name);
+  if (++sends_ == 1) {
+    context_->metrics.placing_time.Observe(now - request_.read_at);
+  }
+  context_->observations.OnSent(server.name, candidate.cold, now);
+  context_->log.Write(
+      "placed",
+      {{"request", std::string_view(request_.request_id)},
+       {"route", std::string_view(route_->name.str())},
+       {"configuration", static_cast<double>(routes_->version)},
+       {"server", std::string_view(server.name.str())},
+       {"running",
+        candidate.reading ? static_cast<double>(candidate.reading->running) : -1},
+       {"slowness", candidate.reading ? candidate.reading->slowness : -1},
+       {"asked", static_cast<double>(candidates_.size())},
+       {"expected_ms", ToMilliseconds(expected)},
+       {"send", static_cast<double>(sends_)},
+       {"waited_ms", ToMilliseconds(now - request_.read_at)}});
+  attempt->connection->Call(
+      ServerRequest(server), request_.method == "HEAD",
+      [self = shared_from_this(), attempt](CallResult result) {
+        self->OnResult(attempt, std::move(result));
+      });
+  ArmSecondSend(expected);
+}
+
+std::string Exchange::ServerRequest(const ServerRecord& server) const {
+  std::string request = request_.method + " " + request_.target +
+                        " HTTP/1.1\r\n" + request_.forwarded_fields +
+                        wire::ServerRequestFields(server.name, TimeLeft());
+  if (request_.has_body) {
+    request += "Content-Length: " + std::to_string(request_.body.size()) +
+               "\r\n";
+  }
+  return request + "\r\n" + request_.body;
+}
+
+void Exchange::ArmSecondSend(Duration expected) {
+  if (!route_->idempotent || sends_ >= route_->max_attempts) return;
+  step_timer_.expires_after(
+      std::chrono::duration_cast<Duration>(expected * kLateFactor) +
+      kLateMargin);
+  step_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (error || self->finished_ || self->attempts_.empty()) return;
+        self->Ask(Purpose::kSecondSend);
+      });
+}
+
+void Exchange::OnResult(const AttemptPtr& attempt, CallResult result) {
+  if (finished_) return;
+  attempts_.erase(std::remove(attempts_.begin(), attempts_.end(), attempt),
+                  attempts_.end());
+  context_->connections.Return(attempt->server.endpoint, attempt->connection);
+  if (const auto* not_sent = std::get_if<NotSent>(&result)) {
+    OnNotSent(attempt, *not_sent);
+  } else if (const auto* no_answer = std::get_if<NoAnswer>(&result)) {
+    OnNoAnswer(attempt, no_answer->problem);
+  } else {
+    OnServerAnswer(attempt, std::get<ServerAnswer>(result));
+  }
+}
+
+void Exchange::OnNotSent(const AttemptPtr& attempt, const NotSent& result) {
+  context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
+  context_->log.Write(
+      "not-sent", {{"request", std::string_view(request_.request_id)},
+                   {"server", std::string_view(attempt->server.name.str())},
+                   {"problem", std::string_view(result.problem)}});
+  context_->metrics.Count("attempts", "not-sent");
+  --sends_;
+  if (attempts_.empty()) Ask(Purpose::kAnswer);
+}
+
+void Exchange::OnNoAnswer(const AttemptPtr& attempt,
+                          const std::string& problem) {
+  may_have_run_ = true;
+  context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
+  context_->log.Write(
+      "no-answer", {{"request", std::string_view(request_.request_id)},
+                    {"server", std::string_view(attempt->server.name.str())},
+                    {"problem", std::string_view(problem)}});
+  context_->metrics.Count("attempts", "no-answer");
+  if (!attempts_.empty()) return;
+  if (route_->idempotent && MaySendAgain()) {
+    Ask(Purpose::kAnswer);
+    return;
+  }
+  FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+}
+
+void Exchange::OnServerAnswer(const AttemptPtr& attempt,
+                              const ServerAnswer& answer) {
+  const TimePoint now = SteadyClock::now();
+  const unsigned status = answer.message.result_int();
+  const auto fields = wire::ReadServerAnswer(status, answer.message);
+  attempt->connection->idle_limit = fields.idle_timeout;
+  if (fields.load) {
+    context_->observations.OnReading(attempt->server.name, *fields.load, now);
+  }
+  const bool other_request =
+      !fields.request_id.empty() && fields.request_id != request_.request_id;
+  if (other_request || (IsSuccess(status) && !fields.is_signed)) {
+    attempt->connection->Cancel();
+    OnNoAnswer(attempt, "an answer that belongs to another request");
+    return;
+  }
+  if (fields.not_run) {
+    OnNotRun(attempt, status);
+    return;
+  }
+  if (IsServerFailure(status)) {
+    context_->observations.OnFailure(attempt->server.name, now);
+    may_have_run_ = true;
+    if (!attempts_.empty()) return;
+    if (route_->idempotent && MaySendAgain()) {
+      context_->log.Write(
+          "failed-by-server",
+          {{"request", std::string_view(request_.request_id)},
+           {"server", std::string_view(attempt->server.name.str())},
+           {"status", static_cast<double>(status)}});
+      Ask(Purpose::kAnswer);
+      return;
+    }
+  }
+  Relay(attempt, answer);
+}
+
+void Exchange::OnNotRun(const AttemptPtr& attempt, unsigned status) {
+  context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
+  context_->log.Write(
+      "shed-by-server",
+      {{"request", std::string_view(request_.request_id)},
+       {"server", std::string_view(attempt->server.name.str())},
+       {"status", static_cast<double>(status)}});
+  context_->metrics.Count("attempts", "shed");
+  if (!attempts_.empty()) return;
+  if (MaySendAgain()) {
+    Ask(Purpose::kAnswer);
+  } else if (may_have_run_) {
+    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+  } else {
+    RefuseNotRun(NotRunReason::kShedByServer, kRetryAfter);
+  }
+}
+
+bool Exchange::MaySendAgain() {
+  return sends_ < route_->max_attempts && TimeLeft() > Duration::zero() &&
+         context_->Retries(service_).TryRetry();
+}
+
+void Exchange::Relay(const AttemptPtr& attempt, const ServerAnswer& answer) {
+  const Duration service_time = SteadyClock::now() - attempt->sent_at;
+  CallerAnswer relayed;
+  relayed.status = answer.message.result_int();
+  for (const auto& field : answer.message) {
+    const std::string_view name(field.name_string().data(),
+                                field.name_string().size());
+    if (!wire::IsReturned(name)) continue;
+    relayed.fields.append(name).append(": ");
+    relayed.fields.append(field.value().data(), field.value().size());
+    relayed.fields += "\r\n";
+  }
+  relayed.body = answer.message.body();
+  if (request_.method == "HEAD") {
+    relayed.unsent_length =
+        std::string(answer.message[http::field::content_length]);
+  }
+  if (IsSuccess(relayed.status)) {
+    context_->statistics.OnAnswer(route_->name, service_time, attempt->slowness,
+                                  relayed.body.size());
+    context_->metrics.server_time.Observe(service_time);
+  }
+  Finish(std::move(relayed), "answered", attempt->server.name.str());
+}
+
+void Exchange::OnGiveUp() {
+  if (finished_) return;
+  if (attempts_.empty() && !may_have_run_) {
+    RefuseNotRun(NotRunReason::kDeadlineTooShort, kRetryAfter);
+  } else {
+    FailUnknown(kGatewayTimeout, UnknownReason::kDeadlineExceeded);
+  }
+}
+
+void Exchange::RefuseNotRun(NotRunReason reason, Duration retry_after) {
+  AnswerItself(kServiceUnavailable, "refused", ToString(reason), retry_after);
+}
+
+void Exchange::FailUnknown(unsigned status, UnknownReason reason) {
+  AnswerItself(status, "unknown", ToString(reason), std::nullopt);
+}
+
+void Exchange::AnswerItself(unsigned status, std::string_view outcome,
+                            std::string_view reason,
+                            std::optional<Duration> retry_after) {
+  CallerAnswer answer;
+  answer.status = status;
+  answer.fields = wire::OwnAnswerFields(request_.request_id, retry_after);
+  answer.body = std::string(reason) + "\n";
+  Finish(std::move(answer), outcome, reason);
+}
+
+void Exchange::Finish(CallerAnswer answer, std::string_view outcome,
+                      std::string_view reason) {
+  finished_ = true;
+  give_up_timer_.cancel();
+  step_timer_.cancel();
+  CancelAttempts();
+  const Duration total = Waited();
+  context_->metrics.Count("requests", outcome);
+  context_->metrics.request_time.Observe(total);
+  context_->log.Write(
+      "ended", {{"request", std::string_view(request_.request_id)},
+                {"route", route_ == nullptr
+                              ? std::string_view()
+                              : std::string_view(route_->name.str())},
+                {"outcome", outcome},
+                {"reason", reason},
+                {"status", static_cast<double>(answer.status)},
+                {"sends", static_cast<double>(sends_)},
+                {"total_ms", ToMilliseconds(total)}});
+  const Done done = std::move(done_);
+  if (done) done(std::move(answer));
+}
+
+void Exchange::Abandon() {
+  if (finished_) return;
+  finished_ = true;
+  give_up_timer_.cancel();
+  step_timer_.cancel();
+  CancelAttempts();
+  done_ = nullptr;
+  context_->metrics.Count("requests", "abandoned");
+  context_->log.Write("caller-gone",
+                      {{"request", std::string_view(request_.request_id)},
+                       {"waited_ms", ToMilliseconds(Waited())}});
+}
+
+void Exchange::CancelAttempts() {
+  for (const AttemptPtr& attempt : attempts_) attempt->connection->Cancel();
+  attempts_.clear();
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/exchange.h
@@ -0,0 +1,129 @@
+// One caller's request, from the moment it is read to its answer.
+//
+// Asks a few candidates for their load, sends the request to the best of them,
+// and checks the answer. A request that must not run twice is sent again only
+// after a server stated that it did not run it, or after a connection that
+// failed before a byte left.
+//
+// Thread safety: none; everything runs on the thread of the io_context.
+#ifndef HEATHERLATCH_TRAFFIC_EXCHANGE_H_
+#define HEATHERLATCH_TRAFFIC_EXCHANGE_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "heatherlatch/base/outcome.h"
+#include "heatherlatch/steering/patience.h"
+#include "heatherlatch/traffic/load_asker.h"
+#include "heatherlatch/traffic/traffic_context.h"
+
+namespace heatherlatch {
+
+struct CallerRequest {
+  std::string method;
+  std::string target;
+  std::string authority;
+  std::string request_id;
+  std::string forwarded_fields;  // Whole lines, ready to be sent.
+  std::string body;
+  bool has_body = false;
+  std::optional<Duration> wait;  // How long the caller will wait.
+  TimePoint read_at;
+};
+
+struct CallerAnswer {
+  unsigned status = 0;
+  std::string fields;  // Whole lines, without those about the connection.
+  std::string body;
+  // The length that is told of a body that is not sent.
+  std::optional<std::string> unsent_length;
+};
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  using Done = std::function<void(CallerAnswer)>;
+
+  Exchange(TrafficContext* context, LoadAsker* asker, CallerRequest request,
+           Done done);
+
+  void Start();
+  // Drops the request: its caller has gone, and servers need not go on.
+  void Abandon();
+
+ private:
+  struct Attempt {
+    ServerRecord server;
+    std::shared_ptr<ClientConnection> connection;
+    TimePoint sent_at;
+    double slowness = 1;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  enum class Purpose {
+    kAnswer,      // No attempt is under way.
+    kSecondSend,  // One is, and takes longer than expected.
+  };
+
+  void ArmGiveUp();
+  void Ask(Purpose purpose);
+  std::vector<Candidate> Eligible() const;
+  void OnReply(std::size_t round, std::size_t index, const LoadReply& reply);
+  void Place(Purpose purpose);
+  void PlaceSecond(const std::optional<Choice>& choice);
+  void Send(const Candidate& candidate, Duration expected);
+  std::string ServerRequest(const ServerRecord& server) const;
+  void ArmSecondSend(Duration expected);
+
+  void OnResult(const AttemptPtr& attempt, CallResult result);
+  void OnNotSent(const AttemptPtr& attempt, const NotSent& result);
+  void OnNoAnswer(const AttemptPtr& attempt, const std::string& problem);
+  void OnServerAnswer(const AttemptPtr& attempt, const ServerAnswer& answer);
+  void OnNotRun(const AttemptPtr& attempt, unsigned status);
+  void Relay(const AttemptPtr& attempt, const ServerAnswer& answer);
+
+  bool MaySendAgain();
+  void OnGiveUp();
+  void RefuseNotRun(NotRunReason reason, Duration retry_after);
+  void FailUnknown(unsigned status, UnknownReason reason);
+  void AnswerItself(unsigned status, std::string_view outcome,
+                    std::string_view reason,
+                    std::optional<Duration> retry_after);
+  void Finish(CallerAnswer answer, std::string_view outcome,
+              std::string_view reason);
+  void CancelAttempts();
+
+  Duration Waited() const { return SteadyClock::now() - request_.read_at; }
+  Duration TimeLeft() const { return give_up_at_ - SteadyClock::now(); }
+
+  TrafficContext* context_;
+  LoadAsker* asker_;
+  CallerRequest request_;
+  Done done_;
+  std::shared_ptr<const RouteTable> routes_;
+  const TrafficRoute* route_ = nullptr;
+  ServiceName service_;
+  TimePoint give_up_at_;
+  boost::asio::steady_timer give_up_timer_;
+  boost::asio::steady_timer step_timer_;
+
+  std::size_t round_ = 0;  // Answers of an earlier round are ignored.
+  std::vector<Candidate> candidates_;
+  std::size_t replies_missing_ = 0;
+  Purpose purpose_ = Purpose::kAnswer;
+
+  std::vector<AttemptPtr> attempts_;  // Under way.
+  std::set<BackendServerName> used_;
+  int sends_ = 0;
+  bool may_have_run_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_EXCHANGE_H_
--- /dev/null
+++ b/heatherlatch/traffic/plain_server.cc
@@ -0,0 +1,90 @@
+#include "heatherlatch/traffic/plain_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <memory>
+#include <utility>
+
+#include "heatherlatch/traffic/client_connection.h"
+
+namespace heatherlatch {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+class PlainSession : public std::enable_shared_from_this<PlainSession> {
+ public:
+  PlainSession(asio::ip::tcp::socket socket, const PlainServer::Handler* handler)
+      : socket_(std::move(socket)), handler_(handler) {}
+
+  void Read() {
+    SetLivenessOptions(&socket_);
+    request_ = {};
+    http::async_read(
+        socket_, buffer_, request_,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          // The other side left or sent no request: the session ends.
+          if (!error) self->Answer();
+        });
+  }
+
+ private:
+  void Answer() {
+    const PlainAnswer answer = (*handler_)(std::string(request_.target()));
+    response_ = {static_cast<http::status>(answer.status), request_.version()};
+    response_.set(http::field::content_type, "text/plain; version=0.0.4");
+    response_.keep_alive(request_.keep_alive());
+    response_.body() = answer.body;
+    response_.prepare_payload();
+    http::async_write(
+        socket_, response_,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          if (!error && self->response_.keep_alive()) self->Read();
+        });
+  }
+
+  asio::ip::tcp::socket socket_;
+  const PlainServer::Handler* handler_;
+  boost::beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  http::response<http::string_body> response_;
+};
+
+}  // namespace
+
+Result<asio::ip::tcp::acceptor> Listen(asio::io_context* io,
+                                       const Endpoint& endpoint) {
+  asio::ip::tcp::acceptor acceptor(*io);
+  error_code error;
+  const auto address = asio::ip::make_address(endpoint.address, error);
+  if (!error) acceptor.open(asio::ip::tcp::v4(), error);
+  if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor.bind({address, endpoint.port}, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return Fail(ListenError{endpoint, error.message()});
+  return acceptor;
+}
+
+PlainServer::PlainServer(asio::ip::tcp::acceptor acceptor, Handler handler)
+    : acceptor_(std::move(acceptor)), handler_(std::move(handler)) {}
+
+void PlainServer::Start() { Accept(); }
+
+void PlainServer::Accept() {
+  acceptor_.async_accept(
+      [this](const error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        // Without a descriptor to spare the connection is left to time out.
+        if (!error) {
+          std::make_shared<PlainSession>(std::move(socket), &handler_)->Read();
+        }
+        Accept();
+      });
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/plain_server.h
@@ -0,0 +1,49 @@
+// Answers small requests without a body, such as for readiness and metrics.
+//
+// Thread safety: none; everything runs on the thread of the io_context.
+#ifndef HEATHERLATCH_TRAFFIC_PLAIN_SERVER_H_
+#define HEATHERLATCH_TRAFFIC_PLAIN_SERVER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+
+#include "heatherlatch/base/endpoint.h"
+#include "heatherlatch/base/result.h"
+
+namespace heatherlatch {
+
+// Why an endpoint cannot be listened on.
+struct ListenError {
+  Endpoint endpoint;
+  std::string detail;
+};
+
+// @return an acceptor that listens on the endpoint, or ListenError
+Result<boost::asio::ip::tcp::acceptor> Listen(boost::asio::io_context* io,
+                                              const Endpoint& endpoint);
+
+struct PlainAnswer {
+  unsigned status = 200;
+  std::string body;
+};
+
+class PlainServer {
+ public:
+  using Handler = std::function<PlainAnswer(const std::string& target)>;
+
+  // @param handler  answers a GET request
+  PlainServer(boost::asio::ip::tcp::acceptor acceptor, Handler handler);
+
+  void Start();
+
+ private:
+  void Accept();
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Handler handler_;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_PLAIN_SERVER_H_
--- /dev/null
+++ b/heatherlatch/traffic/route_statistics.h
@@ -0,0 +1,38 @@
+// How long requests of a route take and how large their answers are.
+//
+// Thread safety: none; the caller serialises access. Reads no clock.
+#ifndef HEATHERLATCH_TRAFFIC_ROUTE_STATISTICS_H_
+#define HEATHERLATCH_TRAFFIC_ROUTE_STATISTICS_H_
+
+#include <cstddef>
+#include <map>
+
+#include "heatherlatch/routing/route_table.h"
+#include "heatherlatch/steering/steering.h"
+
+namespace heatherlatch {
+
+class RouteStatistics {
+ public:
+  // Records an answer.
+  // @param service_time  at the server, without the way
+  // @param slowness      of the server as it was chosen
+  void OnAnswer(const RouteName& route, Duration service_time, double slowness,
+                std::size_t bytes);
+
+  // @return what a request of the route is expected to take; before the first
+  //     answer a share of its latency target
+  ExpectedWork Expect(const TrafficRoute& route) const;
+
+ private:
+  struct Means {
+    double service_milliseconds = 0;
+    double bytes = 0;
+    int count = 0;
+  };
+  std::map<RouteName, Means> means_;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_ROUTE_STATISTICS_H_
--- /dev/null
+++ b/heatherlatch/traffic/server_connections.cc
@@ -0,0 +1,55 @@
+#include "heatherlatch/traffic/server_connections.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherlatch {
+namespace {
+
+bool IsFit(const ClientConnection& connection, Duration limit, TimePoint now) {
+  const Duration kept = connection.idle_limit.value_or(kIdleLimit);
+  return connection.IsReusable() &&
+         now - connection.idle_since() < std::min(limit, kept);
+}
+
+}  // namespace
+
+std::shared_ptr<ClientConnection> ServerConnections::Take(
+    const Endpoint& endpoint, bool fresh_only, TimePoint now) {
+  const Duration limit = fresh_only ? kFreshIdle : kIdleLimit;
+  auto& kept = idle_[endpoint];
+  // The one returned last has been idle for the shortest time.
+  while (!kept.empty()) {
+    std::shared_ptr<ClientConnection> connection = kept.back();
+    if (IsFit(*connection, limit, now)) {
+      kept.pop_back();
+      return connection;
+    }
+    if (connection->IsReusable()) break;
+    kept.pop_back();
+  }
+  ++opened_;
+  return ClientConnection::Open(io_, endpoint);
+}
+
+void ServerConnections::Return(const Endpoint& endpoint,
+                               std::shared_ptr<ClientConnection> connection) {
+  if (connection->IsReusable()) {
+    idle_[endpoint].push_back(std::move(connection));
+  }
+}
+
+void ServerConnections::CloseIdle(TimePoint now) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    auto& kept = it->second;
+    const auto unfit = [now](const std::shared_ptr<ClientConnection>& one) {
+      if (IsFit(*one, kIdleLimit, now)) return false;
+      one->Cancel();
+      return true;
+    };
+    kept.erase(std::remove_if(kept.begin(), kept.end(), unfit), kept.end());
+    it = kept.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -0,0 +1,56 @@
+#include "heatherlatch/traffic/traffic_context.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherlatch {
+namespace {
+
+// Bytes of log lines that may wait for their reader. Source: a second of lines
+// at 1,000 requests a second.
+constexpr std::size_t kMaxWaitingLogBytes = 512 * 1024;
+
+// The part of the deployment's retry share that hosts use; the rest is room for
+// windows that differ between hosts.
+constexpr double kUsedRetryShare = 0.8;
+// Hosts that the deployment's retry reserve is divided among: no host knows how
+// many there are. Source: twice the hosts of a deployment of today.
+constexpr double kHostsSharingReserve = 40;
+
+}  // namespace
+
+TrafficContext::TrafficContext(boost::asio::io_context* io_context,
+                               TrafficHostSettings host_settings,
+                               int log_descriptor, std::uint64_t seed)
+    : io(io_context),
+      settings(std::move(host_settings)),
+      connections(io_context),
+      log(log_descriptor, kMaxWaitingLogBytes),
+      rng(seed) {}
+
+RetryBudget& TrafficContext::Retries(const ServiceName& service) {
+  return retries_
+      .try_emplace(service, settings.retry_share * kUsedRetryShare,
+                   std::max(1.0, settings.retry_reserve / kHostsSharingReserve))
+      .first->second;
+}
+
+RegionName TrafficContext::RegionOf(const ZoneName& zone) const {
+  const auto found = settings.zones.find(zone);
+  return found == settings.zones.end() ? RegionName() : found->second;
+}
+
+Distance TrafficContext::DistanceTo(const ZoneName& zone) const {
+  if (zone == settings.zone) return Distance::kSameZone;
+  return RegionOf(zone) == settings.region ? Distance::kSameRegion
+                                           : Distance::kOtherRegion;
+}
+
+bool TrafficContext::IsHome(const TrafficRoute& route,
+                            const ZoneName& zone) const {
+  const std::vector<RegionName>& homes = route.home_regions;
+  return homes.empty() ||
+         std::find(homes.begin(), homes.end(), RegionOf(zone)) != homes.end();
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -0,0 +1,301 @@
+#include "heatherlatch/traffic/traffic_host.h"
+
+#include <time.h>
+
+#include <csignal>
+#include <set>
+#include <utility>
+
+#include "platform/store_calls.h"
+
+namespace heatherlatch {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Between two rounds of upkeep. Source: a tenth of the shortest idle time-out.
+constexpr Duration kTick = std::chrono::milliseconds(500);
+
+// A host that was suspended for longer doubts what it knows of the store.
+constexpr Duration kSuspensionNoticed = std::chrono::milliseconds(250);
+
+// How long after the stop signal callers may still be sent here: the platform
+// asks each second and takes two refusals.
+constexpr Duration kStillSentHere = std::chrono::milliseconds(2500);
+// Left of the stop time when the process ends in any case.
+constexpr Duration kEndBefore = std::chrono::milliseconds(600);
+
+// How long a server is remembered that is not seen again.
+constexpr Duration kServerMemory = std::chrono::minutes(5);
+// A server that is missing after the store was away may be listed again within
+// this time. Source: the platform's "about two seconds".
+constexpr Duration kMissingGrace = std::chrono::milliseconds(2200);
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kServiceUnavailable = 503;
+
+Duration ReadClock(clockid_t clock) {
+  timespec time{};
+  ::clock_gettime(clock, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
+Duration TotalSuspension() {
+  return ReadClock(CLOCK_BOOTTIME) - ReadClock(CLOCK_MONOTONIC);
+}
+
+}  // namespace
+
+TrafficHost::TrafficHost(asio::io_context* io,
+                         const TrafficHostSettings& settings,
+                         LoadSettings load_settings, int log_descriptor,
+                         std::uint64_t seed)
+    : io_(io),
+      context_(io, settings, log_descriptor, seed),
+      load_settings_(std::move(load_settings)),
+      asker_(&context_),
+      feed_(
+          io, settings.platform, &context_.log, &context_.metrics,
+          [this](const auto& items) { OnList(items); },
+          [this](const auto& items) { OnChanges(items); }),
+      signals_(*io, SIGTERM, SIGINT, SIGHUP),
+      tick_timer_(*io),
+      suspended_(TotalSuspension()) {}
+
+Result<void> TrafficHost::Start() {
+  BOOST_LEAF_CHECK(ListenForCallers());
+  BOOST_LEAF_AUTO(readiness, Listen(io_, context_.settings.readiness_listen));
+  readiness_.emplace(std::move(readiness), [this](const std::string&) {
+    return PlainAnswer{IsReady() ? kOk : kServiceUnavailable, ""};
+  });
+  readiness_->Start();
+  if (context_.settings.metrics_listen.port != 0) {
+    BOOST_LEAF_AUTO(metrics, Listen(io_, context_.settings.metrics_listen));
+    metrics_server_.emplace(std::move(metrics), [this](const std::string&) {
+      return PlainAnswer{kOk, context_.metrics.Text()};
+    });
+    metrics_server_->Start();
+  }
+  context_.log.Write(
+      "started", {{"host", std::string_view(context_.settings.name.str())},
+                  {"version", std::string_view(HEATHERLATCH_VERSION)},
+                  {"zone", std::string_view(context_.settings.zone.str())}});
+  AwaitSignal();
+  feed_.Restart();
+  Accept();
+  Tick();
+  return {};
+}
+
+Result<void> TrafficHost::ListenForCallers() {
+  BOOST_LEAF_AUTO(acceptor, Listen(io_, context_.settings.caller_listen));
+  acceptor_.emplace(std::move(acceptor));
+  return {};
+}
+
+void TrafficHost::Accept() {
+  acceptor_->async_accept(
+      [this](const error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (error) {
+          context_.log.Write("accept-failed",
+                             {{"problem", std::string_view(error.message())}});
+        } else {
+          auto caller = std::make_shared<CallerConnection>(
+              std::move(socket), &context_, &asker_);
+          callers_.push_back(caller);
+          caller->Start();
+        }
+        Accept();
+      });
+}
+
+void TrafficHost::AwaitSignal() {
+  signals_.async_wait([this](const error_code& error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      CheckSettings();
+    } else {
+      BeginStop();
+    }
+    AwaitSignal();
+  });
+}
+
+void TrafficHost::Tick() {
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](const error_code& error) {
+    if (error) return;
+    OnTick();
+    Tick();
+  });
+}
+
+void TrafficHost::OnTick() {
+  const TimePoint now = SteadyClock::now();
+  CheckForSuspension();
+  asker_.Sweep(now);
+  context_.connections.CloseIdle(now);
+  context_.directory.Expire(now);
+  context_.observations.Forget(kServerMemory, now);
+  for (auto it = callers_.begin(); it != callers_.end();) {
+    const std::shared_ptr<CallerConnection> caller = it->lock();
+    if (caller) caller->CheckTimes(now);
+    it = caller && caller->IsOpen() ? std::next(it) : callers_.erase(it);
+  }
+  AdvanceStop(now);
+  context_.log.Flush();
+}
+
+void TrafficHost::CheckForSuspension() {
+  const Duration suspended = TotalSuspension();
+  if (suspended - suspended_ > kSuspensionNoticed) {
+    context_.log.Write("was-suspended",
+                       {{"ms", ToMilliseconds(suspended - suspended_)}});
+    feed_.Restart();
+  }
+  suspended_ = suspended;
+}
+
+void TrafficHost::CheckSettings() {
+  const std::optional<TrafficHostSettings> settings = load_settings_();
+  context_.log.Write("reloaded",
+                     {{"outcome", settings ? std::string_view("taken")
+                                           : std::string_view("refused")}});
+  if (!settings) return;
+  context_.settings.seeds = settings->seeds;
+  context_.settings.zones = settings->zones;
+  context_.settings.platform = settings->platform;
+  context_.settings.stop_wait = settings->stop_wait;
+  feed_.SetStore(settings->platform);
+}
+
+void TrafficHost::OnList(const std::vector<wire::StoreItem>& items) {
+  const TimePoint now = SteadyClock::now();
+  std::vector<ServerRecord> servers;
+  std::set<ZoneName> zones_out;
+  for (const wire::StoreItem& item : items) {
+    const wire::KeySubject subject = wire::ReadKey(item.key);
+    if (std::holds_alternative<wire::RouteTableKey>(subject)) {
+      ApplyRouteTable(item);
+    } else if (const auto* zone = std::get_if<wire::ZoneOutKey>(&subject)) {
+      zones_out.insert(zone->zone);
+    } else if (const auto* server = std::get_if<wire::ServerKey>(&subject)) {
+      const auto record = ReadServer(server->name, item);
+      if (record) servers.push_back(*record);
+    }
+  }
+  context_.directory.ReplaceZonesOut(std::move(zones_out));
+  const Duration grace =
+      feed_.WasUnavailable(now) ? kMissingGrace : Duration::zero();
+  context_.directory.ReplaceAll(servers, grace, now);
+  context_.log.Write("listed",
+                     {{"servers", static_cast<double>(servers.size())}});
+}
+
+void TrafficHost::OnChanges(const std::vector<wire::StoreItem>& items) {
+  const TimePoint now = SteadyClock::now();
+  for (const wire::StoreItem& item : items) Apply(item, now);
+}
+
+void TrafficHost::Apply(const wire::StoreItem& item, TimePoint now) {
+  const wire::KeySubject subject = wire::ReadKey(item.key);
+  if (std::holds_alternative<wire::RouteTableKey>(subject)) {
+    if (!item.gone) ApplyRouteTable(item);
+  } else if (const auto* zone = std::get_if<wire::ZoneOutKey>(&subject)) {
+    context_.directory.SetZoneInService(zone->zone, item.gone);
+    context_.log.Write(item.gone ? "zone-in-service" : "zone-out-of-service",
+                       {{"zone", std::string_view(zone->zone.str())}});
+  } else if (const auto* server = std::get_if<wire::ServerKey>(&subject)) {
+    const BackendServerName name(server->name);
+    if (item.gone) {
+      if (feed_.WasUnavailable(now)) {
+        context_.directory.MarkMissing(name, now + kMissingGrace);
+      } else {
+        context_.directory.Remove(name);
+      }
+      context_.log.Write("server-gone",
+                         {{"server", std::string_view(server->name)}});
+      return;
+    }
+    const auto record = ReadServer(server->name, item);
+    if (!record) return;
+    context_.directory.Put(*record, now);
+    context_.log.Write(record->draining ? "server-draining" : "server-listed",
+                       {{"server", std::string_view(server->name)}});
+  }
+}
+
+std::optional<ServerRecord> TrafficHost::ReadServer(
+    const std::string& name, const wire::StoreItem& item) {
+  const auto refuse = [&](std::string_view problem) {
+    context_.log.Write("server-entry-refused",
+                       {{"server", std::string_view(name)},
+                        {"problem", problem}});
+    return std::optional<ServerRecord>();
+  };
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<ServerRecord>> {
+        BOOST_LEAF_AUTO(record, wire::ReadServerRecord(name, item.value));
+        return std::optional<ServerRecord>(record);
+      },
+      [&](const wire::DocumentError& error) { return refuse(error.problem); },
+      [&](const EndpointError& error) { return refuse(ToString(error)); },
+      [&] { return refuse("it cannot be read"); });
+}
+
+void TrafficHost::ApplyRouteTable(const wire::StoreItem& item) {
+  const auto refuse = [&](std::string_view problem) {
+    context_.log.Write("configuration-refused", {{"problem", problem}});
+  };
+  boost::leaf::try_handle_all(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(table, wire::ReadRouteTable(item.value));
+        const std::uint64_t known =
+            context_.routes ? context_.routes->version : 0;
+        if (table.version <= known) return {};
+        context_.log.Write("configuration",
+                           {{"version", static_cast<double>(table.version)},
+                            {"before", static_cast<double>(known)}});
+        context_.routes = std::make_shared<const RouteTable>(std::move(table));
+        return {};
+      },
+      [&](const wire::DocumentError& error) { refuse(error.problem); },
+      [&] { refuse("it cannot be read"); });
+}
+
+bool TrafficHost::IsReady() const {
+  return context_.routes && context_.directory.size() > 0 && !stop_began_;
+}
+
+void TrafficHost::BeginStop() {
+  if (stop_began_) return;
+  stop_began_ = SteadyClock::now();
+  context_.stopping = true;
+  context_.log.Write("stopping", {});
+}
+
+void TrafficHost::AdvanceStop(TimePoint now) {
+  if (!stop_began_) return;
+  const Duration since = now - *stop_began_;
+  if (since < kStillSentHere) return;
+  bool busy = false;
+  for (const auto& weak : callers_) {
+    const std::shared_ptr<CallerConnection> caller = weak.lock();
+    if (!caller) continue;
+    caller->CloseWhenIdle();
+    busy = busy || caller->IsBusy();
+  }
+  if (!busy || since > context_.settings.stop_wait - kEndBefore) End();
+}
+
+void TrafficHost::End() {
+  context_.log.Write("stopped", {});
+  context_.log.Flush();
+  feed_.Stop();
+  io_->stop();
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/traffic/traffic_host.h
@@ -0,0 +1,79 @@
+// A host on one event loop: callers, backend servers, the platform's store,
+// readiness and metrics.
+//
+// Example:
+//   boost::asio::io_context io(1);
+//   TrafficHost host(&io, settings, load_settings, STDOUT_FILENO, seed);
+//   BOOST_LEAF_CHECK(host.Start());
+//   io.run();
+//
+// Thread safety: none; everything runs on the thread of the io_context.
+#ifndef HEATHERLATCH_TRAFFIC_TRAFFIC_HOST_H_
+#define HEATHERLATCH_TRAFFIC_TRAFFIC_HOST_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+
+#include "heatherlatch/traffic/caller_connection.h"
+#include "heatherlatch/traffic/plain_server.h"
+#include "heatherlatch/traffic/store_feed.h"
+
+namespace heatherlatch {
+
+class TrafficHost {
+ public:
+  // Reads the settings again; nothing where they cannot be used.
+  using LoadSettings = std::function<std::optional<TrafficHostSettings>()>;
+
+  TrafficHost(boost::asio::io_context* io, const TrafficHostSettings& settings,
+              LoadSettings load_settings, int log_descriptor,
+              std::uint64_t seed);
+
+  // Listens, and starts to follow the store. SIGTERM and SIGINT stop the host,
+  // SIGHUP reads its settings again.
+  Result<void> Start();
+
+ private:
+  Result<void> ListenForCallers();
+  void Accept();
+  void AwaitSignal();
+  void Tick();
+  void OnTick();
+  void CheckSettings();
+  void CheckForSuspension();
+
+  void OnList(const std::vector<wire::StoreItem>& items);
+  void OnChanges(const std::vector<wire::StoreItem>& items);
+  void Apply(const wire::StoreItem& item, TimePoint now);
+  void ApplyRouteTable(const wire::StoreItem& item);
+  std::optional<ServerRecord> ReadServer(const std::string& name,
+                                         const wire::StoreItem& item);
+
+  bool IsReady() const;
+  void BeginStop();
+  void AdvanceStop(TimePoint now);
+  void End();
+
+  boost::asio::io_context* io_;
+  TrafficContext context_;
+  LoadSettings load_settings_;
+  LoadAsker asker_;
+  StoreFeed feed_;
+  std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::optional<PlainServer> readiness_;
+  std::optional<PlainServer> metrics_server_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer tick_timer_;
+  std::list<std::weak_ptr<CallerConnection>> callers_;
+  std::optional<TimePoint> stop_began_;
+  Duration suspended_{};  // Total time that the steady clock stood still.
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_TRAFFIC_HOST_H_
--- /dev/null
+++ b/heatherlatch/traffic/traffic_metrics.h
@@ -0,0 +1,59 @@
+// Counters and latency histograms of a traffic host, as Prometheus text.
+//
+// prometheus-cpp is not used here: its headers cannot be installed beside those
+// of ulfius, and the platform's build may neither download nor unpack anything
+// (docs/ARCHITECTURE.md).
+//
+// The number of series is bounded: labels are outcomes, never names of callers
+// or requests.
+//
+// Thread safety: none; everything runs on the thread of the io_context.
+#ifndef HEATHERLATCH_TRAFFIC_TRAFFIC_METRICS_H_
+#define HEATHERLATCH_TRAFFIC_TRAFFIC_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "heatherlatch/base/time.h"
+
+namespace heatherlatch {
+
+class LatencyHistogram {
+ public:
+  void Observe(Duration duration);
+  // Appends the series of the histogram.
+  // @param name  such as "request_seconds"
+  void AppendTo(std::string_view name, std::string* out) const;
+
+ private:
+  // Upper bounds of the buckets, in milliseconds.
+  static constexpr std::array<double, 12> kBounds = {
+      1, 2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000};
+  std::array<std::uint64_t, kBounds.size() + 1> counts_{};
+  double sum_milliseconds_ = 0;
+};
+
+class TrafficMetrics {
+ public:
+  // Counts one event of a family, such as ("requests", "answered").
+  void Count(std::string_view family, std::string_view outcome);
+
+  // @return every series as Prometheus text
+  std::string Text() const;
+
+  LatencyHistogram request_time;  // From a whole request to its answer.
+  LatencyHistogram placing_time;  // From a whole request to its first send.
+  LatencyHistogram server_time;   // From a send to its answer.
+
+ private:
+  std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>,
+           std::less<>>
+      families_;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_TRAFFIC_METRICS_H_
--- /dev/null
+++ b/programs/host/main.cc
@@ -0,0 +1,106 @@
+// heatherlatch-host: a host on the users' platform, on one event loop.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "heatherlatch/settings/traffic_host_settings.h"
+#include "heatherlatch/traffic/traffic_host.h"
+
+namespace heatherlatch {
+namespace {
+
+enum ExitCode : int {
+  kStoppedGracefully = 0,
+  kSettingsRefused = 1,
+  kCannotListen = 2,
+  kUsage = 3,
+};
+
+constexpr const char* kFooter = R"(Example:
+  heatherlatch-host --settings /etc/heatherlatch/host.yaml
+
+SIGTERM or SIGINT stops the host gracefully; SIGHUP reads its settings again.
+
+Exit codes:
+  0  stopped gracefully
+  1  the settings have findings
+  2  an endpoint cannot be listened on
+  3  wrong usage, or the settings cannot be read)";
+
+// Reads the settings and tells every finding on standard error.
+// @return the settings, or the exit code
+std::variant<TrafficHostSettings, ExitCode> LoadSettings(
+    const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "heatherlatch-host: settings file \"" << path
+              << "\" cannot be read\n";
+    return kUsage;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  auto read = ReadTrafficHostSettings(text.str());
+  if (auto* settings = std::get_if<TrafficHostSettings>(&read)) {
+    return std::move(*settings);
+  }
+  for (const Finding& finding : std::get<std::vector<Finding>>(read)) {
+    std::cerr << path << ": " << ToString(finding) << "\n";
+  }
+  return kSettingsRefused;
+}
+
+int RunHost(const std::string& path) {
+  const auto loaded = LoadSettings(path);
+  if (const auto* code = std::get_if<ExitCode>(&loaded)) return *code;
+  const auto reload = [path]() -> std::optional<TrafficHostSettings> {
+    auto again = LoadSettings(path);
+    if (auto* settings = std::get_if<TrafficHostSettings>(&again)) {
+      return std::move(*settings);
+    }
+    return std::nullopt;
+  };
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<int> {
+        boost::asio::io_context io(1);
+        TrafficHost host(&io, std::get<TrafficHostSettings>(loaded), reload,
+                         STDOUT_FILENO, std::random_device{}());
+        BOOST_LEAF_CHECK(host.Start());
+        io.run();
+        return kStoppedGracefully;
+      },
+      [](const ListenError& error) -> int {
+        std::cerr << "heatherlatch-host: endpoint " << error.endpoint
+                  << " cannot be listened on: " << error.detail << "\n";
+        return kCannotListen;
+      },
+      []() -> int {
+        std::cerr << "heatherlatch-host: the host could not be started\n";
+        return kCannotListen;
+      });
+}
+
+}  // namespace
+}  // namespace heatherlatch
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app("Serves callers on one host of the platform.");
+  app.set_version_flag("--version", HEATHERLATCH_VERSION);
+  app.footer(heatherlatch::kFooter);
+  std::string settings;
+  app.add_option("--settings", settings, "YAML file with the host's settings")
+      ->envname("HEATHERLATCH_NODE_FILE")
+      ->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : heatherlatch::kUsage;
+  }
+  return heatherlatch::RunHost(settings);
+}
