Let hosts relay what the store publishes

The seeds read the store; the others ask the nearest seed with a short waiting call, and ask the store as soon as no seed is in touch with it. A host that restarts asks the store first.

Ruled out: longer waits at the store by every host, which leave hosts that the store turns away without news.

--- a/heatherlatch/fleet/server_directory.cc
+++ b/heatherlatch/fleet/server_directory.cc
@@ -1,6 +1,6 @@
 #include "heatherlatch/fleet/server_directory.h"
 
-#include <utility>
+#include <iterator>
 
 namespace heatherlatch {
 
@@ -23,21 +23,6 @@
   found->second.missing_until = until;
 }
 
-void ServerDirectory::ReplaceAll(const std::vector<ServerRecord>& records,
-                                 Duration grace, TimePoint now) {
-  std::set<BackendServerName> listed;
-  for (const ServerRecord& record : records) {
-    listed.insert(record.name);
-    Put(record, now);
-  }
-  for (auto& [name, entry] : entries_) {
-    if (listed.count(name) == 0 && !entry.missing_until) {
-      entry.missing_until = now + grace;
-    }
-  }
-  Expire(now);
-}
-
 void ServerDirectory::Expire(TimePoint now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const std::optional<TimePoint>& until = it->second.missing_until;
@@ -53,10 +38,6 @@
   }
 }
 
-void ServerDirectory::ReplaceZonesOut(std::set<ZoneName> zones) {
-  zones_out_ = std::move(zones);
-}
-
 std::vector<const ServerEntry*> ServerDirectory::Usable(
     const ServiceName& service, TimePoint now) const {
   std::vector<const ServerEntry*> usable;
--- a/heatherlatch/fleet/server_directory.h
+++ b/heatherlatch/fleet/server_directory.h
@@ -51,19 +51,10 @@
   // Keeps a server that is missing until it is listed again or `until` passes.
   void MarkMissing(const BackendServerName& name, TimePoint until);
 
-  // Takes `records` as the whole list. A server that is missing from it is
-  // kept for `grace` where the platform may have lost sight of it, and removed
-  // at once otherwise.
-  void ReplaceAll(const std::vector<ServerRecord>& records, Duration grace,
-                  TimePoint now);
-
   // Removes the servers whose grace has ended.
   void Expire(TimePoint now);
 
   void SetZoneInService(const ZoneName& zone, bool in_service);
-  // Takes `zones` as all zones that are out of service.
-  void ReplaceZonesOut(std::set<ZoneName> zones);
-  const std::set<ZoneName>& zones_out() const { return zones_out_; }
 
   // @return the servers of a service that may get new work
   std::vector<const ServerEntry*> Usable(const ServiceName& service,
--- /dev/null
+++ b/heatherlatch/relay/peer_messages.cc
@@ -0,0 +1,95 @@
+#include "heatherlatch/relay/peer_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace heatherlatch {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string ToBytes(const Json& message) {
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(message);
+  return std::string(bytes.begin(), bytes.end());
+}
+
+Json ToBinary(const std::string& text) {
+  return Json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
+}
+
+std::string FromBinary(const Json& value) {
+  const auto& bytes = value.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+// An item is [key, revision, value], without the value where it is gone.
+Json ToJson(const PublishedItem& item) {
+  Json encoded = {item.key, item.revision};
+  if (!item.gone) encoded.push_back(ToBinary(item.value));
+  return encoded;
+}
+
+PublishedItem ToItem(const Json& encoded) {
+  PublishedItem item;
+  item.key = encoded.at(0).get<std::string>();
+  item.revision = encoded.at(1).get<std::uint64_t>();
+  item.gone = encoded.size() < 3;
+  if (!item.gone) item.value = FromBinary(encoded.at(2));
+  return item;
+}
+
+}  // namespace
+
+std::string Encode(const FeedQuestion& question) {
+  return ToBytes(
+      {{"from", ToString(question.asker)},
+       {"after", question.after},
+       {"wait", static_cast<std::int64_t>(question.wait.count())}});
+}
+
+std::string Encode(const FeedAnswer& answer) {
+  Json items = Json::array();
+  for (const PublishedItem& item : answer.page.items) {
+    items.push_back(ToJson(item));
+  }
+  return ToBytes({{"rev", answer.page.revision},
+                  {"whole", answer.page.is_whole},
+                  {"age", static_cast<std::int64_t>(answer.age.count())},
+                  {"away", answer.store_was_away},
+                  {"items", std::move(items)}});
+}
+
+Result<FeedQuestion> DecodeFeedQuestion(std::string_view bytes) {
+  try {
+    const Json message = Json::from_cbor(bytes);
+    FeedQuestion question;
+    question.after = message.at("after").get<std::uint64_t>();
+    question.wait =
+        std::chrono::milliseconds(message.at("wait").get<std::uint32_t>());
+    BOOST_LEAF_ASSIGN(question.asker,
+                      ParseEndpoint(message.at("from").get<std::string>()));
+    return question;
+  } catch (const Json::exception& error) {
+    return Fail(PeerMessageError{error.what()});
+  }
+}
+
+Result<FeedAnswer> DecodeFeedAnswer(std::string_view bytes) {
+  try {
+    const Json message = Json::from_cbor(bytes);
+    FeedAnswer answer;
+    answer.page.revision = message.at("rev").get<std::uint64_t>();
+    answer.page.is_whole = message.at("whole").get<bool>();
+    answer.age =
+        std::chrono::milliseconds(message.at("age").get<std::int64_t>());
+    answer.store_was_away = message.at("away").get<bool>();
+    for (const Json& item : message.at("items")) {
+      answer.page.items.push_back(ToItem(item));
+    }
+    return answer;
+  } catch (const Json::exception& error) {
+    return Fail(PeerMessageError{error.what()});
+  }
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/relay/peer_messages.h
@@ -0,0 +1,43 @@
+// What one host asks another about what is published, and the answer, in CBOR.
+//
+// Thread safety: pure functions.
+#ifndef HEATHERLATCH_RELAY_PEER_MESSAGES_H_
+#define HEATHERLATCH_RELAY_PEER_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+
+#include "heatherlatch/base/endpoint.h"
+#include "heatherlatch/base/result.h"
+#include "heatherlatch/base/time.h"
+#include "heatherlatch/relay/published_items.h"
+
+namespace heatherlatch {
+
+// Why a message cannot be read.
+struct PeerMessageError {
+  std::string problem;
+};
+
+struct FeedQuestion {
+  Endpoint asker;  // Where the asking host can be asked in turn.
+  std::uint64_t after = 0;
+  std::chrono::milliseconds wait{};  // For a change.
+};
+
+struct FeedAnswer {
+  FeedPage page;
+  // Since the store last confirmed what the answering host knows.
+  std::chrono::milliseconds age{};
+  // Whether the store was away lately, so that servers may have lapsed.
+  bool store_was_away = false;
+};
+
+std::string Encode(const FeedQuestion& question);
+std::string Encode(const FeedAnswer& answer);
+Result<FeedQuestion> DecodeFeedQuestion(std::string_view bytes);
+Result<FeedAnswer> DecodeFeedAnswer(std::string_view bytes);
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_RELAY_PEER_MESSAGES_H_
--- /dev/null
+++ b/heatherlatch/relay/source_choice.cc
@@ -0,0 +1,110 @@
+#include "heatherlatch/relay/source_choice.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace heatherlatch {
+namespace {
+
+constexpr int kMaxDoublings = 5;
+
+Duration StoreRetry(int failures) {
+  const int doublings = std::min(failures - 1, kMaxDoublings);
+  return std::min(kLongestStoreRetry, kFirstStoreRetry * (1 << doublings));
+}
+
+}  // namespace
+
+SourceChoice::SourceChoice(Endpoint self, const std::vector<Endpoint>& readers,
+                           DeploymentStart start)
+    : self_(std::move(self)),
+      asks_store_first_(start == DeploymentStart::kRestart) {
+  SetReaders(readers);
+}
+
+void SourceChoice::SetReaders(const std::vector<Endpoint>& readers) {
+  is_reader_ = std::find(readers.begin(), readers.end(), self_) != readers.end();
+  for (auto& [endpoint, peer] : peers_) peer.is_reader = false;
+  for (const Endpoint& reader : readers) {
+    if (reader != self_) peers_[reader].is_reader = true;
+  }
+}
+
+bool SourceChoice::MayAsk(const Peer& peer, TimePoint now) const {
+  return !peer.failed_at || now - *peer.failed_at >= kPassedOver;
+}
+
+std::optional<Endpoint> SourceChoice::BestPeer(bool readers_only,
+                                               TimePoint now) const {
+  const Endpoint* best = nullptr;
+  Duration best_round_trip{};
+  for (const auto& [endpoint, peer] : peers_) {
+    const bool asked_lately =
+        peer.asked_us_at && now - *peer.asked_us_at < kAskerMemory;
+    const bool fits = peer.is_reader || (!readers_only && asked_lately);
+    if (!fits || !MayAsk(peer, now)) continue;
+    if (best == nullptr || peer.round_trip < best_round_trip) {
+      best = &endpoint;
+      best_round_trip = peer.round_trip;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::make_optional(*best);
+}
+
+std::optional<Step> SourceChoice::StoreStep(TimePoint now) const {
+  if (store_failures_ == 0) return Step{StoreSource{}, Duration::zero()};
+  const Duration since = now - *store_failed_at_;
+  if (since >= StoreRetry(store_failures_)) {
+    return Step{StoreSource{}, Duration::zero()};
+  }
+  return std::nullopt;
+}
+
+Step SourceChoice::Next(TimePoint now) {
+  if (!is_reader_ && !asks_store_first_) {
+    const auto reader = BestPeer(true, now);
+    if (reader) return {PeerSource{*reader}, Duration::zero()};
+  }
+  const auto store = StoreStep(now);
+  if (store) return *store;
+  const auto peer = BestPeer(false, now);
+  if (peer) return {PeerSource{*peer}, Duration::zero()};
+  return {StoreSource{},
+          StoreRetry(store_failures_) - (now - *store_failed_at_)};
+}
+
+void SourceChoice::OnAnswer(const Source& source, Duration round_trip,
+                            TimePoint) {
+  if (const auto* asked = std::get_if<PeerSource>(&source)) {
+    Peer& peer = peers_[asked->endpoint];
+    peer.failed_at.reset();
+    peer.round_trip = round_trip;
+    return;
+  }
+  asks_store_first_ = false;
+  store_failures_ = 0;
+}
+
+void SourceChoice::OnFailure(const Source& source, TimePoint now) {
+  if (const auto* asked = std::get_if<PeerSource>(&source)) {
+    peers_[asked->endpoint].failed_at = now;
+    return;
+  }
+  asks_store_first_ = false;
+  ++store_failures_;
+  store_failed_at_ = now;
+}
+
+void SourceChoice::OnAskedBy(const Endpoint& peer, TimePoint now) {
+  peers_[peer].asked_us_at = now;
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const Peer& known = it->second;
+    const bool forgotten =
+        !known.is_reader &&
+        (!known.asked_us_at || now - *known.asked_us_at >= kAskerMemory);
+    it = forgotten ? peers_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/heatherlatch/relay/source_choice.h
@@ -0,0 +1,98 @@
+// Chooses where a host learns next what is published: from the platform's store
+// or from another host.
+//
+// A few hosts, the readers, ask the store; the others ask a reader, the nearest
+// first. A host asks the store itself as soon as no reader is in touch with it,
+// and a reader that the store turns away asks other hosts, so that a host that
+// reaches anyone in touch is in touch.
+//
+// Example:
+//   Step step = choice.Next(now);
+//   ... ask step.source after step.delay ...
+//   choice.OnAnswer(step.source, round_trip, now);
+//
+// Thread safety: none; the caller serialises access. Reads no clock.
+#ifndef HEATHERLATCH_RELAY_SOURCE_CHOICE_H_
+#define HEATHERLATCH_RELAY_SOURCE_CHOICE_H_
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "heatherlatch/base/endpoint.h"
+#include "heatherlatch/base/time.h"
+
+namespace heatherlatch {
+
+struct StoreSource {};
+struct PeerSource {
+  Endpoint endpoint;
+};
+using Source = std::variant<StoreSource, PeerSource>;
+
+struct Step {
+  Source source;
+  Duration delay{};
+};
+
+// How long a source that failed is passed over. Source: the readers of a
+// deployment are asked again about as often as a host may be restarted.
+inline constexpr Duration kPassedOver = std::chrono::seconds(2);
+
+// Between two calls of one host to a store that turns it away; doubled with
+// each up to the longest, since refused calls have their price too.
+inline constexpr Duration kFirstStoreRetry = std::chrono::milliseconds(150);
+inline constexpr Duration kLongestStoreRetry = std::chrono::milliseconds(2500);
+
+// How long a host that asked this one counts as a possible source.
+inline constexpr Duration kAskerMemory = std::chrono::seconds(5);
+
+enum class DeploymentStart {
+  kFirst,    // Callers come later; readers have time to learn.
+  kRestart,  // Callers wait, and readers may start too: ask the store at once.
+};
+
+class SourceChoice {
+ public:
+  // @param self     the endpoint at which other hosts ask this one
+  // @param readers  the hosts that ask the store
+  // @param start    how the deployment starts
+  SourceChoice(Endpoint self, const std::vector<Endpoint>& readers,
+               DeploymentStart start);
+
+  void SetReaders(const std::vector<Endpoint>& readers);
+
+  // @return whether this host asks the store before any other host
+  bool IsReader() const { return is_reader_; }
+
+  Step Next(TimePoint now);
+
+  void OnAnswer(const Source& source, Duration round_trip, TimePoint now);
+  void OnFailure(const Source& source, TimePoint now);
+  // Another host asked this one, so it can be asked in turn.
+  void OnAskedBy(const Endpoint& peer, TimePoint now);
+
+ private:
+  struct Peer {
+    bool is_reader = false;
+    std::optional<TimePoint> failed_at;
+    std::optional<TimePoint> asked_us_at;
+    Duration round_trip{};
+  };
+
+  bool MayAsk(const Peer& peer, TimePoint now) const;
+  std::optional<Endpoint> BestPeer(bool readers_only, TimePoint now) const;
+  std::optional<Step> StoreStep(TimePoint now) const;
+
+  Endpoint self_;
+  bool is_reader_ = false;
+  bool asks_store_first_;
+  std::map<Endpoint, Peer> peers_;
+  int store_failures_ = 0;  // In a row.
+  std::optional<TimePoint> store_failed_at_;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_RELAY_SOURCE_CHOICE_H_
--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -71,6 +71,8 @@
   AssignIfPresent(reader.Address("metrics_listen", kOptional),
                   &settings.metrics_listen);
   AssignIfPresent(reader.Address("platform", kRequired), &settings.platform);
+  AssignIfPresent(reader.Boolean("first_start", kOptional),
+                  &settings.first_start);
   ReadSeeds(&reader, &settings);
   ReadZones(&reader, &settings);
   AssignIfPresent(reader.Time("stop_wait", kOptional, kStopWaitRange),
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -29,6 +29,8 @@
   Endpoint metrics_listen;    // HTTP for metrics.
   Endpoint platform;          // The platform's store.
   std::vector<Endpoint> seeds;  // Other hosts; some may be down.
+  // Whether the whole deployment starts for the first time.
+  bool first_start = false;
   std::map<ZoneName, RegionName> zones;
   // Until the process is killed after it was asked to stop.
   Duration stop_wait = std::chrono::seconds(6);
--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -194,8 +194,9 @@
     const std::shared_ptr<Due> due = std::move(due_.front());
     due_.pop_front();
     // The last answer of a stopping host tells the caller to go elsewhere.
-    const bool close =
-        due->close_after || (context_->stopping && due_.empty());
+    const bool last =
+        due_.empty() && (context_->stopping || !accepts_requests_);
+    const bool close = due->close_after || last;
     if (close) accepts_requests_ = false;
     close_after_write_ = close;
     AppendAnswer(*due, close, &outgoing_);
@@ -272,10 +273,10 @@
   }
 }
 
-void CallerConnection::CloseWhenIdle() {
-  if (open_ && !IsBusy() && !parser_->got_some() && buffer_.size() == 0) {
-    Close();
-  }
+void CallerConnection::FinishUp() {
+  if (!open_) return;
+  accepts_requests_ = false;
+  if (!IsBusy() && !send_closed_) Close();
 }
 
 void CallerConnection::OnCallerGone() {
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -32,9 +32,9 @@
   // Closes the connection where its caller is too slow or idle for too long.
   void CheckTimes(TimePoint now);
 
-  // Closes the connection if no request is under way; otherwise after the
-  // answers that are due.
-  void CloseWhenIdle();
+  // Takes no further request, and closes after the answers that are due. What
+  // the caller has sent beyond them counts as not read.
+  void FinishUp();
 
   bool IsOpen() const { return open_; }
   bool IsBusy() const { return !due_.empty() || writing_; }
--- a/heatherlatch/traffic/plain_server.cc
+++ b/heatherlatch/traffic/plain_server.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -29,13 +28,19 @@
         socket_, buffer_, request_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
           // The other side left or sent no request: the session ends.
-          if (!error) self->Answer();
+          if (!error) self->Handle();
         });
   }
 
  private:
-  void Answer() {
-    const PlainAnswer answer = (*handler_)(std::string(request_.target()));
+  void Handle() {
+    (*handler_)(request_.body(),
+                [self = shared_from_this()](const PlainAnswer& answer) {
+                  self->Answer(answer);
+                });
+  }
+
+  void Answer(const PlainAnswer& answer) {
     response_ = {static_cast<http::status>(answer.status), request_.version()};
     response_.set(http::field::content_type, "text/plain; version=0.0.4");
     response_.keep_alive(request_.keep_alive());
@@ -51,7 +56,7 @@
   asio::ip::tcp::socket socket_;
   const PlainServer::Handler* handler_;
   boost::beast::flat_buffer buffer_;
-  http::request<http::empty_body> request_;
+  http::request<http::string_body> request_;
   http::response<http::string_body> response_;
 };
 
--- a/heatherlatch/traffic/plain_server.h
+++ b/heatherlatch/traffic/plain_server.h
@@ -1,4 +1,4 @@
-// Answers small requests without a body, such as for readiness and metrics.
+// Answers small requests, such as for readiness, metrics and other hosts.
 //
 // Thread safety: none; everything runs on the thread of the io_context.
 #ifndef HEATHERLATCH_TRAFFIC_PLAIN_SERVER_H_
@@ -30,9 +30,12 @@
 
 class PlainServer {
  public:
-  using Handler = std::function<PlainAnswer(const std::string& target)>;
+  using Respond = std::function<void(PlainAnswer)>;
+  // Answers a request, at once or later.
+  // @param body     of the request
+  // @param respond  to be called once
+  using Handler = std::function<void(const std::string& body, Respond respond)>;
 
-  // @param handler  answers a GET request
   PlainServer(boost::asio::ip::tcp::acceptor acceptor, Handler handler);
 
   void Start();
--- /dev/null
+++ b/heatherlatch/traffic/published_feed.h
@@ -0,0 +1,105 @@
+// Follows what the platform publishes, from the store or from another host, and
+// answers other hosts that follow it here.
+//
+// One call is under way at a time. Which source is asked next is decided by
+// SourceChoice; what is known is kept by PublishedItems and only grows, so a
+// source that is behind does no harm.
+//
+// Thread safety: none; everything runs on the thread of the io_context.
+#ifndef HEATHERLATCH_TRAFFIC_PUBLISHED_FEED_H_
+#define HEATHERLATCH_TRAFFIC_PUBLISHED_FEED_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "heatherlatch/relay/peer_messages.h"
+#include "heatherlatch/relay/published_items.h"
+#include "heatherlatch/relay/source_choice.h"
+#include "heatherlatch/traffic/client_connection.h"
+#include "heatherlatch/traffic/plain_server.h"
+#include "heatherlatch/traffic/traffic_context.h"
+
+namespace heatherlatch {
+
+class PublishedFeed {
+ public:
+  // Receives the items that changed, in the order of their changes.
+  using OnChanged = std::function<void(const std::vector<PublishedItem>&)>;
+
+  PublishedFeed(TrafficContext* context, OnChanged on_changed);
+
+  void Start();
+  void Stop();
+  // Takes over changed settings.
+  void Reconfigure();
+  // Doubts what is known, after the host stood still, and asks at once.
+  void Doubt();
+
+  // Answers another host, at once or when something changes.
+  void AnswerPeer(const std::string& question, PlainServer::Respond respond);
+
+  // @return whether the store is out of reach, or was until so lately that its
+  //     servers may not all be listed again
+  bool StoreWasAway(TimePoint now) const;
+
+ private:
+  struct WaitingPeer {
+    std::uint64_t after = 0;
+    TimePoint until;
+    PlainServer::Respond respond;
+  };
+
+  void Ask();
+  void AskStore();
+  void AskPeer(const Endpoint& peer);
+  void Call(const Endpoint& endpoint, std::string request, Duration limit);
+  void ArmLimit(std::size_t call, Duration limit);
+
+  void OnResult(std::size_t call, const CallResult& result);
+  Result<void> OnAnswer(const http::response<http::string_body>& answer);
+  Result<void> OnStoreAnswer(const std::string& body);
+  Result<void> OnPeerAnswer(const std::string& body);
+  void OnHistoryGone();
+  void OnFailure(const std::string& problem, bool slow);
+  void Succeed(TimePoint confirmed_at, Duration next);
+  void Merge(const FeedPage& page);
+  void After(Duration delay);
+
+  FeedAnswer Answer(std::uint64_t after) const;
+  void AnswerWaiting(bool all);
+  void ArmWaiting();
+  Duration Age(TimePoint now) const;
+
+  TrafficContext* context_;
+  OnChanged on_changed_;
+  SourceChoice choice_;
+  PublishedItems items_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer waiting_timer_;
+  std::list<WaitingPeer> waiting_;
+
+  Source source_;  // Of the call under way, or the last.
+  std::optional<Endpoint> connected_to_;
+  std::shared_ptr<ClientConnection> connection_;
+  std::size_t call_ = 0;  // Results of an earlier call are ignored.
+  TimePoint asked_at_;
+  std::optional<Endpoint> followed_;  // The peer that answered last.
+
+  bool knows_list_ = false;  // Whether the store can be asked for changes.
+  FeedPage listed_;          // Pages of a list that is being read.
+  std::optional<TimePoint> confirmed_at_;
+  int failures_ = 0;   // In a row.
+  bool lost_ = false;  // No source has answered since failures that count.
+  std::optional<TimePoint> regained_at_;
+  std::optional<TimePoint> away_until_;  // As other hosts told.
+  bool stopped_ = false;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_PUBLISHED_FEED_H_
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -3,7 +3,6 @@
 #include <time.h>
 
 #include <csignal>
-#include <set>
 #include <utility>
 
 #include "platform/store_calls.h"
@@ -56,34 +55,35 @@
       context_(io, settings, log_descriptor, seed),
       load_settings_(std::move(load_settings)),
       asker_(&context_),
-      feed_(
-          io, settings.platform, &context_.log, &context_.metrics,
-          [this](const auto& items) { OnList(items); },
-          [this](const auto& items) { OnChanges(items); }),
+      feed_(&context_,
+            [this](const std::vector<PublishedItem>& items) {
+              const TimePoint now = SteadyClock::now();
+              for (const PublishedItem& item : items) Apply(item, now);
+            }),
       signals_(*io, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(*io),
       suspended_(TotalSuspension()) {}
 
 Result<void> TrafficHost::Start() {
   BOOST_LEAF_CHECK(ListenForCallers());
-  BOOST_LEAF_AUTO(readiness, Listen(io_, context_.settings.readiness_listen));
-  readiness_.emplace(std::move(readiness), [this](const std::string&) {
-    return PlainAnswer{IsReady() ? kOk : kServiceUnavailable, ""};
-  });
-  readiness_->Start();
-  if (context_.settings.metrics_listen.port != 0) {
-    BOOST_LEAF_AUTO(metrics, Listen(io_, context_.settings.metrics_listen));
-    metrics_server_.emplace(std::move(metrics), [this](const std::string&) {
-      return PlainAnswer{kOk, context_.metrics.Text()};
-    });
-    metrics_server_->Start();
-  }
+  BOOST_LEAF_CHECK(Serve(context_.settings.readiness_listen,
+                         [this](const std::string&, const auto& respond) {
+                           respond({IsReady() ? kOk : kServiceUnavailable, ""});
+                         }));
+  BOOST_LEAF_CHECK(Serve(context_.settings.metrics_listen,
+                         [this](const std::string&, const auto& respond) {
+                           respond({kOk, context_.metrics.Text()});
+                         }));
+  BOOST_LEAF_CHECK(Serve(context_.settings.peer_listen,
+                         [this](const std::string& body, auto respond) {
+                           feed_.AnswerPeer(body, std::move(respond));
+                         }));
   context_.log.Write(
       "started", {{"host", std::string_view(context_.settings.name.str())},
                   {"version", std::string_view(HEATHERLATCH_VERSION)},
                   {"zone", std::string_view(context_.settings.zone.str())}});
   AwaitSignal();
-  feed_.Restart();
+  feed_.Start();
   Accept();
   Tick();
   return {};
@@ -95,6 +95,14 @@
   return {};
 }
 
+Result<void> TrafficHost::Serve(const Endpoint& endpoint,
+                                PlainServer::Handler handler) {
+  if (endpoint.port == 0) return {};
+  BOOST_LEAF_AUTO(acceptor, Listen(io_, endpoint));
+  servers_.emplace_back(std::move(acceptor), std::move(handler)).Start();
+  return {};
+}
+
 void TrafficHost::Accept() {
   acceptor_->async_accept(
       [this](const error_code& error, asio::ip::tcp::socket socket) {
@@ -154,7 +162,7 @@
   if (suspended - suspended_ > kSuspensionNoticed) {
     context_.log.Write("was-suspended",
                        {{"ms", ToMilliseconds(suspended - suspended_)}});
-    feed_.Restart();
+    feed_.Doubt();
   }
   suspended_ = suspended;
 }
@@ -169,67 +177,50 @@
   context_.settings.zones = settings->zones;
   context_.settings.platform = settings->platform;
   context_.settings.stop_wait = settings->stop_wait;
-  feed_.SetStore(settings->platform);
-}
-
-void TrafficHost::OnList(const std::vector<wire::StoreItem>& items) {
-  const TimePoint now = SteadyClock::now();
-  std::vector<ServerRecord> servers;
-  std::set<ZoneName> zones_out;
-  for (const wire::StoreItem& item : items) {
-    const wire::KeySubject subject = wire::ReadKey(item.key);
-    if (std::holds_alternative<wire::RouteTableKey>(subject)) {
-      ApplyRouteTable(item);
-    } else if (const auto* zone = std::get_if<wire::ZoneOutKey>(&subject)) {
-      zones_out.insert(zone->zone);
-    } else if (const auto* server = std::get_if<wire::ServerKey>(&subject)) {
-      const auto record = ReadServer(server->name, item);
-      if (record) servers.push_back(*record);
-    }
-  }
-  context_.directory.ReplaceZonesOut(std::move(zones_out));
-  const Duration grace =
-      feed_.WasUnavailable(now) ? kMissingGrace : Duration::zero();
-  context_.directory.ReplaceAll(servers, grace, now);
-  context_.log.Write("listed",
-                     {{"servers", static_cast<double>(servers.size())}});
+  feed_.Reconfigure();
 }
 
-void TrafficHost::OnChanges(const std::vector<wire::StoreItem>& items) {
-  const TimePoint now = SteadyClock::now();
-  for (const wire::StoreItem& item : items) Apply(item, now);
-}
-
-void TrafficHost::Apply(const wire::StoreItem& item, TimePoint now) {
+void TrafficHost::Apply(const PublishedItem& item, TimePoint now) {
   const wire::KeySubject subject = wire::ReadKey(item.key);
   if (std::holds_alternative<wire::RouteTableKey>(subject)) {
     if (!item.gone) ApplyRouteTable(item);
   } else if (const auto* zone = std::get_if<wire::ZoneOutKey>(&subject)) {
     context_.directory.SetZoneInService(zone->zone, item.gone);
     context_.log.Write(item.gone ? "zone-in-service" : "zone-out-of-service",
-                       {{"zone", std::string_view(zone->zone.str())}});
+                       {{"zone", std::string_view(zone->zone.str())},
+                        {"revision", static_cast<double>(item.revision)}});
   } else if (const auto* server = std::get_if<wire::ServerKey>(&subject)) {
-    const BackendServerName name(server->name);
-    if (item.gone) {
-      if (feed_.WasUnavailable(now)) {
-        context_.directory.MarkMissing(name, now + kMissingGrace);
-      } else {
-        context_.directory.Remove(name);
-      }
-      context_.log.Write("server-gone",
-                         {{"server", std::string_view(server->name)}});
-      return;
+    ApplyServer(server->name, item, now);
+  }
+}
+
+void TrafficHost::ApplyServer(const std::string& name,
+                              const PublishedItem& item, TimePoint now) {
+  const double revision = static_cast<double>(item.revision);
+  if (item.gone) {
+    // A server that lapsed while the store was away may be listed again.
+    const bool may_return = feed_.StoreWasAway(now);
+    if (may_return) {
+      context_.directory.MarkMissing(BackendServerName(name),
+                                     now + kMissingGrace);
+    } else {
+      context_.directory.Remove(BackendServerName(name));
     }
-    const auto record = ReadServer(server->name, item);
-    if (!record) return;
-    context_.directory.Put(*record, now);
-    context_.log.Write(record->draining ? "server-draining" : "server-listed",
-                       {{"server", std::string_view(server->name)}});
+    context_.log.Write(may_return ? "server-missing" : "server-gone",
+                       {{"server", std::string_view(name)},
+                        {"revision", revision}});
+    return;
   }
+  const auto record = ReadServer(name, item);
+  if (!record) return;
+  context_.directory.Put(*record, now);
+  context_.log.Write(record->draining ? "server-draining" : "server-listed",
+                     {{"server", std::string_view(name)},
+                      {"revision", revision}});
 }
 
 std::optional<ServerRecord> TrafficHost::ReadServer(
-    const std::string& name, const wire::StoreItem& item) {
+    const std::string& name, const PublishedItem& item) {
   const auto refuse = [&](std::string_view problem) {
     context_.log.Write("server-entry-refused",
                        {{"server", std::string_view(name)},
@@ -246,7 +237,7 @@
       [&] { return refuse("it cannot be read"); });
 }
 
-void TrafficHost::ApplyRouteTable(const wire::StoreItem& item) {
+void TrafficHost::ApplyRouteTable(const PublishedItem& item) {
   const auto refuse = [&](std::string_view problem) {
     context_.log.Write("configuration-refused", {{"problem", problem}});
   };
@@ -281,11 +272,13 @@
   if (!stop_began_) return;
   const Duration since = now - *stop_began_;
   if (since < kStillSentHere) return;
+  error_code ignored;  // It may be closed already.
+  acceptor_->close(ignored);
   bool busy = false;
   for (const auto& weak : callers_) {
     const std::shared_ptr<CallerConnection> caller = weak.lock();
     if (!caller) continue;
-    caller->CloseWhenIdle();
+    caller->FinishUp();
     busy = busy || caller->IsBusy();
   }
   if (!busy || since > context_.settings.stop_wait - kEndBefore) End();
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -21,7 +21,7 @@
 
 #include "heatherlatch/traffic/caller_connection.h"
 #include "heatherlatch/traffic/plain_server.h"
-#include "heatherlatch/traffic/store_feed.h"
+#include "heatherlatch/traffic/published_feed.h"
 
 namespace heatherlatch {
 
@@ -40,6 +40,7 @@
 
  private:
   Result<void> ListenForCallers();
+  Result<void> Serve(const Endpoint& endpoint, PlainServer::Handler handler);
   void Accept();
   void AwaitSignal();
   void Tick();
@@ -47,12 +48,12 @@
   void CheckSettings();
   void CheckForSuspension();
 
-  void OnList(const std::vector<wire::StoreItem>& items);
-  void OnChanges(const std::vector<wire::StoreItem>& items);
-  void Apply(const wire::StoreItem& item, TimePoint now);
-  void ApplyRouteTable(const wire::StoreItem& item);
+  void Apply(const PublishedItem& item, TimePoint now);
+  void ApplyServer(const std::string& name, const PublishedItem& item,
+                   TimePoint now);
+  void ApplyRouteTable(const PublishedItem& item);
   std::optional<ServerRecord> ReadServer(const std::string& name,
-                                         const wire::StoreItem& item);
+                                         const PublishedItem& item);
 
   bool IsReady() const;
   void BeginStop();
@@ -63,10 +64,9 @@
   TrafficContext context_;
   LoadSettings load_settings_;
   LoadAsker asker_;
-  StoreFeed feed_;
+  PublishedFeed feed_;
   std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
-  std::optional<PlainServer> readiness_;
-  std::optional<PlainServer> metrics_server_;
+  std::list<PlainServer> servers_;  // Readiness, metrics and other hosts.
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
   std::list<std::weak_ptr<CallerConnection>> callers_;
