--- a/heatherlatch/backend/testing/raw_server.h
+++ b/heatherlatch/backend/testing/raw_server.h
@@ -36,10 +36,21 @@
     return head.find("\r\n\r\n") == std::string::npos ? "" : head;
   }
 
+  // @return the next `count` bytes; fewer at the end of the connection
+  std::string ReadBytes(std::size_t count) {
+    std::string bytes(count, '\0');
+    const ssize_t size = recv(socket_, bytes.data(), count, MSG_WAITALL);
+    bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return bytes;
+  }
+
   void Send(const std::string& bytes) const {
     send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  // Ends what is sent on this connection.
+  void Finish() const { shutdown(socket_, SHUT_WR); }
+
   // Makes the coming close a reset.
   void Reset() const {
     const linger no_linger = {1, 0};
--- /dev/null
+++ b/heatherlatch/fleet/server_directory_test.cc
@@ -0,0 +1,122 @@
+#include "heatherlatch/fleet/server_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include "heatherlatch/fleet/server_observations.h"
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{};
+const BackendServerName kServer("i-1");
+const ServiceName kTally("tally");
+
+ServerRecord MakeRecord() {
+  ServerRecord record;
+  record.name = kServer;
+  record.service = kTally;
+  record.zone = ZoneName("zone-a");
+  record.endpoint = {"10.0.0.1", 80};
+  record.slots = 3;
+  return record;
+}
+
+TEST_CASE("a listed server may get work until it drains or is removed") {
+  ServerDirectory directory;
+  directory.Put(MakeRecord(), kStart);
+  CHECK(directory.Usable(kTally, kStart).size() == 1);
+  CHECK(directory.Usable(ServiceName("other"), kStart).empty());
+  ServerRecord draining = MakeRecord();
+  draining.draining = true;
+  directory.Put(draining, kStart);
+  CHECK(directory.Usable(kTally, kStart).empty());
+  directory.Put(MakeRecord(), kStart);
+  directory.Remove(kServer);
+  CHECK(directory.FindUsable(kServer, kStart) == nullptr);
+}
+
+TEST_CASE("a zone out of service gets no work until it is back",
+          "[promise-03]") {
+  ServerDirectory directory;
+  directory.Put(MakeRecord(), kStart);
+  directory.SetZoneInService(ZoneName("zone-a"), false);
+  CHECK(directory.Usable(kTally, kStart).empty());
+  directory.SetZoneInService(ZoneName("zone-a"), true);
+  CHECK(directory.Usable(kTally, kStart).size() == 1);
+}
+
+TEST_CASE("a missing server is kept for its grace, or until it is listed") {
+  ServerDirectory directory;
+  directory.Put(MakeRecord(), kStart);
+  directory.MarkMissing(kServer, kStart + seconds(2));
+  CHECK(directory.FindUsable(kServer, kStart + milliseconds(1999)) != nullptr);
+  CHECK(directory.FindUsable(kServer, kStart + seconds(2)) == nullptr);
+  directory.Put(MakeRecord(), kStart + seconds(1));
+  CHECK(directory.FindUsable(kServer, kStart + seconds(3)) != nullptr);
+  directory.MarkMissing(kServer, kStart + seconds(5));
+  directory.Expire(kStart + seconds(5));
+  CHECK(directory.size() == 0);
+}
+
+TEST_CASE("a record of an earlier start is ignored") {
+  ServerDirectory directory;
+  ServerRecord record = MakeRecord();
+  record.started_at_ms = 2000;
+  directory.Put(record, kStart);
+  ServerRecord late = MakeRecord();
+  late.started_at_ms = 1000;
+  late.draining = true;
+  directory.Put(late, kStart);
+  CHECK(directory.FindUsable(kServer, kStart) != nullptr);
+}
+
+TEST_CASE("cold start is counted from when the record was taken") {
+  ServerDirectory directory;
+  ServerRecord record = MakeRecord();
+  record.cold_remaining = seconds(3);
+  directory.Put(record, kStart + seconds(1));
+  const ServerEntry* entry = directory.FindUsable(kServer, kStart + seconds(1));
+  REQUIRE(entry != nullptr);
+  CHECK(entry->cold_until == kStart + seconds(4));
+}
+
+TEST_CASE("a reading is used while it is fresh and counts later sends") {
+  ServerObservations observations;
+  observations.OnReading(kServer, {1, 0, 3, 1.0}, kStart);
+  observations.OnSent(kServer, false, kStart);
+  CHECK(observations.SentSinceReading(kServer) == 1);
+  CHECK(
+      observations.Reading(kServer, milliseconds(1), kStart + milliseconds(1)));
+  CHECK_FALSE(
+      observations.Reading(kServer, milliseconds(1), kStart + milliseconds(2)));
+  observations.OnReading(kServer, {2, 0, 3, 1.0}, kStart + milliseconds(3));
+  CHECK(observations.SentSinceReading(kServer) == 0);
+}
+
+TEST_CASE("a server in cold start gets one request of a host in an interval",
+          "[promise-02]") {
+  ServerObservations observations;
+  CHECK(observations.MaySendCold(kServer, kStart));
+  observations.OnSent(kServer, true, kStart);
+  CHECK_FALSE(observations.MaySendCold(
+      kServer, kStart + kColdSendInterval - milliseconds(1)));
+  CHECK(observations.MaySendCold(kServer, kStart + kColdSendInterval));
+}
+
+TEST_CASE("a failure is remembered for its time and cold start until it ends") {
+  ServerObservations observations;
+  observations.OnFailure(kServer, kStart);
+  CHECK(observations.FailedLately(kServer, kStart));
+  CHECK_FALSE(observations.FailedLately(kServer, kStart + kFailureMemory));
+  observations.OnColdRemaining(kServer, seconds(2), kStart);
+  CHECK(observations.IsCold(kServer, kStart + milliseconds(1999)));
+  CHECK_FALSE(observations.IsCold(kServer, kStart + seconds(2)));
+  observations.Forget(seconds(10), kStart + seconds(11));
+  CHECK_FALSE(observations.IsCold(kServer, kStart));
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/fleet/server_observations.cc
+++ b/heatherlatch/fleet/server_observations.cc
@@ -67,8 +67,8 @@
 
 void ServerObservations::Forget(Duration age, TimePoint now) {
   for (auto it = observed_.begin(); it != observed_.end();) {
-    it = now - it->second.touched_at > age ? observed_.erase(it)
-                                           : std::next(it);
+    it =
+        now - it->second.touched_at > age ? observed_.erase(it) : std::next(it);
   }
 }
 
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -41,10 +41,9 @@
 }  // namespace
 
 std::string Encode(const FeedQuestion& question) {
-  return ToBytes(
-      {{"from", ToString(question.asker)},
-       {"after", question.after},
-       {"wait", static_cast<std::int64_t>(question.wait.count())}});
+  return ToBytes({{"from", ToString(question.asker)},
+                  {"after", question.after},
+                  {"wait", static_cast<std::int64_t>(question.wait.count())}});
 }
 
 std::string Encode(const FeedAnswer& answer) {
@@ -55,6 +54,7 @@
   return ToBytes({{"rev", answer.page.revision},
                   {"whole", answer.page.is_whole},
                   {"age", static_cast<std::int64_t>(answer.age.count())},
+                  {"hops", answer.hops},
                   {"away", answer.store_was_away},
                   {"items", std::move(items)}});
 }
@@ -82,6 +82,7 @@
     answer.page.is_whole = message.at("whole").get<bool>();
     answer.age =
         std::chrono::milliseconds(message.at("age").get<std::int64_t>());
+    answer.hops = message.at("hops").get<int>();
     answer.store_was_away = message.at("away").get<bool>();
     for (const Json& item : message.at("items")) {
       answer.page.items.push_back(ToItem(item));
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -25,10 +25,18 @@
   std::chrono::milliseconds wait{};  // For a change.
 };
 
+// The most hosts between an answering host and the store whose answer counts.
+// Two hosts that ask each other would otherwise pass on an ageing confirmation.
+// Source: a reader that the store turns away may follow a host that it does
+// not.
+inline constexpr int kMaxHops = 1;
+
 struct FeedAnswer {
   FeedPage page;
   // Since the store last confirmed what the answering host knows.
   std::chrono::milliseconds age{};
+  // Hosts between the answering host and the store.
+  int hops = 0;
   // Whether the store was away lately, so that servers may have lapsed.
   bool store_was_away = false;
 };
--- a/heatherlatch/relay/published_items.h
+++ b/heatherlatch/relay/published_items.h
@@ -52,7 +52,8 @@
   std::uint64_t revision() const { return revision_; }
 
  private:
-  void RemoveUnlisted(const FeedPage& page, std::vector<PublishedItem>* changed);
+  void RemoveUnlisted(const FeedPage& page,
+                      std::vector<PublishedItem>* changed);
   void ForgetOldest();
 
   std::map<std::string, PublishedItem> items_;  // Removed ones too.
--- /dev/null
+++ b/heatherlatch/relay/published_items_test.cc
@@ -0,0 +1,93 @@
+#include "heatherlatch/relay/published_items.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace heatherlatch {
+namespace {
+
+using Keys = std::map<std::string, std::string>;
+
+Keys Existing(const PublishedItems& items) {
+  Keys keys;
+  for (const PublishedItem& item : items.ChangesSince(0).items) {
+    if (!item.gone) keys[item.key] = item.value;
+  }
+  return keys;
+}
+
+TEST_CASE("an older item never replaces a newer one", "[promise-10]") {
+  PublishedItems items;
+  items.Merge({false, 5, {{"config", "five", 5, false}}});
+  CHECK(items.Merge({false, 4, {{"config", "four", 4, false}}}).empty());
+  CHECK(items.Merge({true, 4, {{"config", "four", 4, false}}}).empty());
+  CHECK(Existing(items) == Keys{{"config", "five"}});
+  CHECK(items.revision() == 5);
+}
+
+TEST_CASE("a list removes what it does not hold, unless that is newer") {
+  PublishedItems items;
+  items.Merge({false, 3, {{"old", "1", 2, false}, {"new", "2", 9, false}}});
+  const auto changed = items.Merge({true, 5, {{"other", "3", 4, false}}});
+  CHECK(Existing(items) == Keys{{"new", "2"}, {"other", "3"}});
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[1].key == "old");
+  CHECK(changed[1].gone);
+}
+
+TEST_CASE("a host that was away for long gets the whole list") {
+  PublishedItems items;
+  items.Merge({true, 100, {{"a", "1", 50, false}}});
+  CHECK(items.ChangesSince(0).is_whole);
+  CHECK(items.ChangesSince(99).is_whole);
+  CHECK_FALSE(items.ChangesSince(100).is_whole);
+  FeedPage removals;
+  for (std::uint64_t i = 0; i <= kMaxRemembered; ++i) {
+    removals.revision = 101 + i;
+    removals.items.push_back({"x" + std::to_string(i), "", 101 + i, true});
+  }
+  items.Merge(removals);
+  CHECK(items.ChangesSince(100).is_whole);
+  CHECK_FALSE(items.ChangesSince(101).is_whole);
+}
+
+// A store with a few keys, and followers that learn of its changes from one
+// another in any order.
+TEST_CASE("followers that ask anyone end with what the store holds") {
+  CHECK(rc::check("relayed changes converge", [] {
+    constexpr int kHosts = 3;
+    PublishedItems store;
+    std::vector<PublishedItems> hosts(kHosts);
+    std::vector<std::uint64_t> seen(kHosts, 0);
+    std::uint64_t revision = 0;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      if (*rc::gen::inRange(0, 2) == 0) {
+        ++revision;
+        const std::string key(1,
+                              static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+        const bool gone = *rc::gen::inRange(0, 3) == 0;
+        store.Merge(
+            {false,
+             revision,
+             {{key, gone ? "" : std::to_string(revision), revision, gone}}});
+        continue;
+      }
+      const int asker = *rc::gen::inRange(0, kHosts);
+      const int source = *rc::gen::inRange(0, kHosts + 1);
+      const PublishedItems& from = source == kHosts ? store : hosts[source];
+      hosts[asker].Merge(from.ChangesSince(hosts[asker].revision()));
+      RC_ASSERT(hosts[asker].revision() >= seen[asker]);
+      seen[asker] = hosts[asker].revision();
+    }
+    for (PublishedItems& host : hosts) {
+      host.Merge(store.ChangesSince(host.revision()));
+      RC_ASSERT(Existing(host) == Existing(store));
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/relay/source_choice.cc
+++ b/heatherlatch/relay/source_choice.cc
@@ -24,7 +24,8 @@
 }
 
 void SourceChoice::SetReaders(const std::vector<Endpoint>& readers) {
-  is_reader_ = std::find(readers.begin(), readers.end(), self_) != readers.end();
+  is_reader_ =
+      std::find(readers.begin(), readers.end(), self_) != readers.end();
   for (auto& [endpoint, peer] : peers_) peer.is_reader = false;
   for (const Endpoint& reader : readers) {
     if (reader != self_) peers_[reader].is_reader = true;
@@ -61,7 +62,27 @@
   return std::nullopt;
 }
 
+std::optional<Step> SourceChoice::FirstStep(TimePoint now) const {
+  if (is_reader_ || asks_store_first_ || was_answered_) return std::nullopt;
+  if (now >= *readers_only_until_) return std::nullopt;
+  std::optional<Step> first;
+  for (const auto& [endpoint, peer] : peers_) {
+    if (!peer.is_reader) continue;
+    const Duration delay =
+        peer.failed_at ? std::max(Duration::zero(),
+                                  *peer.failed_at + kFirstReaderRetry - now)
+                       : Duration::zero();
+    if (!first || delay < first->delay) {
+      first = Step{PeerSource{endpoint}, delay};
+    }
+  }
+  return first;
+}
+
 Step SourceChoice::Next(TimePoint now) {
+  if (!readers_only_until_) readers_only_until_ = now + kReadersStart;
+  const auto first = FirstStep(now);
+  if (first) return *first;
   if (!is_reader_ && !asks_store_first_) {
     const auto reader = BestPeer(true, now);
     if (reader) return {PeerSource{*reader}, Duration::zero()};
@@ -76,6 +97,7 @@
 
 void SourceChoice::OnAnswer(const Source& source, Duration round_trip,
                             TimePoint) {
+  was_answered_ = true;
   if (const auto* asked = std::get_if<PeerSource>(&source)) {
     Peer& peer = peers_[asked->endpoint];
     peer.failed_at.reset();
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -53,6 +53,12 @@
   kRestart,  // Callers wait, and readers may start too: ask the store at once.
 };
 
+// How long the hosts of a new deployment leave the store to the readers, and
+// how long they wait between two questions to one. Source: machines start
+// within 0.3 s of each other, seconds before callers come.
+inline constexpr Duration kReadersStart = std::chrono::milliseconds(1500);
+inline constexpr Duration kFirstReaderRetry = std::chrono::milliseconds(200);
+
 class SourceChoice {
  public:
   // @param self     the endpoint at which other hosts ask this one
@@ -81,6 +87,8 @@
     Duration round_trip{};
   };
 
+  // @return a step to a reader while readers may still be starting
+  std::optional<Step> FirstStep(TimePoint now) const;
   bool MayAsk(const Peer& peer, TimePoint now) const;
   std::optional<Endpoint> BestPeer(bool readers_only, TimePoint now) const;
   std::optional<Step> StoreStep(TimePoint now) const;
@@ -88,6 +96,9 @@
   Endpoint self_;
   bool is_reader_ = false;
   bool asks_store_first_;
+  // Until when a host of a new deployment asks readers only.
+  std::optional<TimePoint> readers_only_until_;
+  bool was_answered_ = false;
   std::map<Endpoint, Peer> peers_;
   int store_failures_ = 0;  // In a row.
   std::optional<TimePoint> store_failed_at_;
--- /dev/null
+++ b/heatherlatch/relay/source_choice_test.cc
@@ -0,0 +1,99 @@
+#include "heatherlatch/relay/source_choice.h"
+
+#include <catch2/catch.hpp>
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{};
+const Endpoint kSelf{"10.0.0.9", 1};
+const Endpoint kNear{"10.0.0.1", 1};
+const Endpoint kFar{"10.0.0.2", 1};
+
+std::string Describe(const Step& step) {
+  const auto* peer = std::get_if<PeerSource>(&step.source);
+  return peer == nullptr ? "store" : ToString(peer->endpoint);
+}
+
+TEST_CASE("a reader asks the store, another host the nearest reader") {
+  SourceChoice reader(kNear, {kNear, kFar}, DeploymentStart::kFirst);
+  CHECK(reader.IsReader());
+  CHECK(Describe(reader.Next(kStart)) == "store");
+  SourceChoice host(kSelf, {kNear, kFar}, DeploymentStart::kFirst);
+  host.OnAnswer(PeerSource{kFar}, milliseconds(60), kStart);
+  host.OnAnswer(PeerSource{kNear}, milliseconds(1), kStart);
+  CHECK(Describe(host.Next(kStart)) == ToString(kNear));
+}
+
+TEST_CASE("a host asks the store itself while no reader is in touch") {
+  SourceChoice host(kSelf, {kNear, kFar}, DeploymentStart::kFirst);
+  host.OnAnswer(PeerSource{kNear}, milliseconds(1), kStart);
+  host.OnFailure(PeerSource{kNear}, kStart);
+  CHECK(Describe(host.Next(kStart)) == ToString(kFar));
+  host.OnFailure(PeerSource{kFar}, kStart);
+  CHECK(Describe(host.Next(kStart)) == "store");
+  CHECK(Describe(host.Next(kStart + kPassedOver)) != "store");
+}
+
+TEST_CASE("a reader that the store turns away asks those who asked it") {
+  SourceChoice reader(kNear, {kNear}, DeploymentStart::kFirst);
+  reader.OnAskedBy(kSelf, kStart);
+  reader.OnFailure(StoreSource{}, kStart);
+  CHECK(Describe(reader.Next(kStart)) == ToString(kSelf));
+  reader.OnFailure(PeerSource{kSelf}, kStart);
+  const Step step = reader.Next(kStart);
+  CHECK(Describe(step) == "store");
+  CHECK(step.delay == kFirstStoreRetry);
+}
+
+TEST_CASE("calls to a store that turns the host away become rare") {
+  SourceChoice reader(kNear, {kNear}, DeploymentStart::kFirst);
+  TimePoint now = kStart;
+  int calls = 0;
+  while (now < kStart + seconds(9)) {
+    const Step step = reader.Next(now);
+    now += step.delay + milliseconds(5);
+    reader.OnFailure(step.source, now);
+    ++calls;
+  }
+  // Nine seconds of doubling waits: 0.15 to 2.4 s, then 2.5 s.
+  CHECK(calls <= 9);
+  reader.OnAnswer(StoreSource{}, milliseconds(4), now);
+  CHECK(reader.Next(now).delay == Duration::zero());
+}
+
+TEST_CASE("a host that restarts asks the store first") {
+  SourceChoice host(kSelf, {kNear}, DeploymentStart::kRestart);
+  CHECK(Describe(host.Next(kStart)) == "store");
+  host.OnAnswer(StoreSource{}, milliseconds(4), kStart);
+  CHECK(Describe(host.Next(kStart)) == ToString(kNear));
+  SourceChoice unlucky(kSelf, {kNear}, DeploymentStart::kRestart);
+  unlucky.OnFailure(StoreSource{}, kStart);
+  CHECK(Describe(unlucky.Next(kStart)) == ToString(kNear));
+}
+
+TEST_CASE("hosts of a new deployment leave the store to the readers at first") {
+  SourceChoice host(kSelf, {kNear, kFar}, DeploymentStart::kFirst);
+  TimePoint now = kStart;
+  while (now < kStart + kReadersStart) {
+    const Step step = host.Next(now);
+    CHECK(Describe(step) != "store");
+    now += step.delay + milliseconds(5);
+    host.OnFailure(step.source, now);
+  }
+  CHECK(Describe(host.Next(now)) == "store");
+}
+
+TEST_CASE("new readers replace the old ones") {
+  SourceChoice host(kSelf, {kNear}, DeploymentStart::kFirst);
+  host.SetReaders({kFar});
+  CHECK(Describe(host.Next(kStart)) == ToString(kFar));
+  host.SetReaders({kSelf});
+  CHECK(Describe(host.Next(kStart)) == "store");
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -23,11 +23,11 @@
   HostName name;
   RegionName region;
   ZoneName zone;
-  Endpoint caller_listen;     // HTTP for callers.
-  Endpoint readiness_listen;  // HTTP for the platform's balancer.
-  Endpoint peer_listen;       // HTTP for other hosts.
-  Endpoint metrics_listen;    // HTTP for metrics.
-  Endpoint platform;          // The platform's store.
+  Endpoint caller_listen;       // HTTP for callers.
+  Endpoint readiness_listen;    // HTTP for the platform's balancer.
+  Endpoint peer_listen;         // HTTP for other hosts.
+  Endpoint metrics_listen;      // HTTP for metrics.
+  Endpoint platform;            // The platform's store.
   std::vector<Endpoint> seeds;  // Other hosts; some may be down.
   // Whether the whole deployment starts for the first time.
   bool first_start = false;
--- /dev/null
+++ b/heatherlatch/settings/traffic_host_settings_test.cc
@@ -0,0 +1,59 @@
+#include "heatherlatch/settings/traffic_host_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace heatherlatch {
+namespace {
+
+constexpr char kFile[] = R"(host: "host-1"
+zone: "zone-a"
+region: "north"
+zones: {"zone-a":"north","zone-s":"south"}
+caller_listen: "10.0.0.1:8548"
+readiness_listen: "10.0.0.1:8542"
+peer_listen: "10.0.0.1:8544"
+metrics_listen: "10.0.0.1:9464"
+platform: "10.200.1.7:8541"
+first_start: true
+seeds: ["10.0.0.1:8544","10.2.0.1:8544"]
+stop_wait: 6s
+retry_share: 0.2
+retry_reserve: 64
+)";
+
+std::vector<Finding> FindingsOf(const std::string& yaml) {
+  const auto read = ReadTrafficHostSettings(yaml);
+  const auto* findings = std::get_if<std::vector<Finding>>(&read);
+  return findings == nullptr ? std::vector<Finding>() : *findings;
+}
+
+TEST_CASE("the settings of a traffic host are read") {
+  const auto read = ReadTrafficHostSettings(kFile);
+  REQUIRE(std::holds_alternative<TrafficHostSettings>(read));
+  const auto& settings = std::get<TrafficHostSettings>(read);
+  CHECK(settings.name == HostName("host-1"));
+  CHECK(settings.zones.at(ZoneName("zone-s")) == RegionName("south"));
+  CHECK(settings.platform == Endpoint{"10.200.1.7", 8541});
+  CHECK(settings.seeds.size() == 2);
+  CHECK(settings.first_start);
+  CHECK(settings.stop_wait == std::chrono::seconds(6));
+  CHECK(settings.retry_reserve == 64);
+}
+
+TEST_CASE("each problem of a traffic host's settings is named with its line") {
+  std::string text = kFile;
+  text.replace(text.find("10.0.0.1:8548"), 13, "nowhere");
+  text.replace(text.find("10.2.0.1:8544"), 13, "10.2.0.1");
+  text += "stop_wiat: 5s\n";
+  const auto findings = FindingsOf(text);
+  REQUIRE(findings.size() == 3);
+  CHECK(findings[0].field == "caller_listen");
+  CHECK(findings[0].line == 5);
+  CHECK(findings[1].field == "seeds");
+  CHECK(findings[2].kind == FindingKind::kUnknownKey);
+  CHECK(findings[2].line == 15);
+  CHECK(FindingsOf("host: a\n").size() == 6);
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -27,10 +27,9 @@
 }
 
 int Outstanding(const Candidate& candidate) {
-  const int reported =
-      candidate.reading
-          ? candidate.reading->running + candidate.reading->waiting
-          : 0;
+  const int reported = candidate.reading ? candidate.reading->running +
+                                               candidate.reading->waiting
+                                         : 0;
   return reported + candidate.sent_since_reading;
 }
 
@@ -81,8 +80,7 @@
 }
 
 std::vector<Candidate> DrawCandidates(std::vector<Candidate> all,
-                                      std::size_t count,
-                                      std::mt19937_64* rng) {
+                                      std::size_t count, std::mt19937_64* rng) {
   std::shuffle(all.begin(), all.end(), *rng);
   std::stable_sort(all.begin(), all.end(),
                    [](const Candidate& a, const Candidate& b) {
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -35,12 +35,12 @@
   bool cold = false;
   bool failed_lately = false;
   std::optional<LoadReading> reading;  // Absent: it did not answer in time.
-  int sent_since_reading = 0;  // By this host, and not in the reading.
+  int sent_since_reading = 0;          // By this host, and not in the reading.
 };
 
 // What is expected of a request.
 struct ExpectedWork {
-  Duration service_time{};    // On an idle server at its usual speed.
+  Duration service_time{};  // On an idle server at its usual speed.
   double answer_bytes = 0;
   Duration latency_target{};  // Measures what traffic between zones costs.
 };
--- /dev/null
+++ b/heatherlatch/steering/steering_test.cc
@@ -0,0 +1,132 @@
+#include "heatherlatch/steering/steering.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "heatherlatch/steering/patience.h"
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+Candidate MakeCandidate(const std::string& name, Distance distance,
+                        const LoadReading& reading) {
+  Candidate candidate;
+  candidate.server.name = BackendServerName(name);
+  candidate.server.slots = reading.slots;
+  candidate.distance = distance;
+  candidate.reading = reading;
+  return candidate;
+}
+
+ExpectedWork SmallWork() { return {milliseconds(120), 400, milliseconds(300)}; }
+ExpectedWork Download() {
+  return {milliseconds(96), 90'000, milliseconds(500)};
+}
+
+std::string Chosen(const std::vector<Candidate>& candidates,
+                   const ExpectedWork& work) {
+  const auto choice = ChooseServer(candidates, work);
+  return choice ? candidates[choice->index].server.name.str() : "none";
+}
+
+TEST_CASE("a server slowed by a neighbour gives way to one farther away") {
+  const std::vector<Candidate> candidates = {
+      MakeCandidate("slow", Distance::kSameZone, {0, 0, 3, 7}),
+      MakeCandidate("usual", Distance::kSameRegion, {0, 0, 3, 1})};
+  CHECK(Chosen(candidates, SmallWork()) == "usual");
+}
+
+TEST_CASE("a server with a free slot goes before one where work waits") {
+  const std::vector<Candidate> candidates = {
+      MakeCandidate("full", Distance::kSameZone, {3, 2, 3, 1}),
+      MakeCandidate("free", Distance::kSameRegion, {1, 0, 3, 1})};
+  CHECK(Chosen(candidates, SmallWork()) == "free");
+  const auto choice = ChooseServer({candidates[0]}, SmallWork());
+  REQUIRE(choice);
+  CHECK(choice->vacancy == Vacancy::kFull);
+}
+
+TEST_CASE("a download stays in its zone where a small request would leave") {
+  const std::vector<Candidate> candidates = {
+      MakeCandidate("near", Distance::kSameZone, {3, 0, 3, 1}),
+      MakeCandidate("far", Distance::kSameRegion, {0, 0, 3, 1})};
+  CHECK(Chosen(candidates, SmallWork()) == "far");
+  CHECK(Chosen(candidates, Download()) == "near");
+}
+
+TEST_CASE("own sends since the reading count as work of the server") {
+  std::vector<Candidate> candidates = {
+      MakeCandidate("a", Distance::kSameZone, {1, 0, 3, 1}),
+      MakeCandidate("b", Distance::kSameZone, {2, 0, 3, 1})};
+  CHECK(Chosen(candidates, SmallWork()) == "a");
+  candidates[0].sent_since_reading = 2;
+  CHECK(Chosen(candidates, SmallWork()) == "b");
+}
+
+TEST_CASE("a server that failed lately comes last, and still serves alone") {
+  std::vector<Candidate> candidates = {
+      MakeCandidate("failed", Distance::kSameZone, {0, 0, 3, 1}),
+      MakeCandidate("busy", Distance::kSameZone, {3, 3, 3, 1})};
+  candidates[0].failed_lately = true;
+  CHECK(Chosen(candidates, SmallWork()) == "busy");
+  CHECK(Chosen({candidates[0]}, SmallWork()) == "failed");
+}
+
+TEST_CASE("a server in cold start gets work only while it has none",
+          "[promise-02]") {
+  Candidate idle = MakeCandidate("cold", Distance::kSameZone, {0, 0, 3, 1});
+  idle.cold = true;
+  CHECK(Chosen({idle}, SmallWork()) == "cold");
+  Candidate busy = idle;
+  busy.reading->running = 1;
+  CHECK(Chosen({busy}, SmallWork()) == "none");
+  Candidate unknown = idle;
+  unknown.reading.reset();
+  CHECK(Chosen({unknown}, SmallWork()) == "none");
+}
+
+TEST_CASE("candidates of the region are drawn before others") {
+  std::mt19937_64 rng(20261204);
+  std::vector<Candidate> all;
+  for (int i = 0; i < 4; ++i) {
+    all.push_back(MakeCandidate("zone", Distance::kSameZone, {}));
+    all.push_back(MakeCandidate("region", Distance::kSameRegion, {}));
+    all.push_back(MakeCandidate("far", Distance::kOtherRegion, {}));
+  }
+  const auto drawn = DrawCandidates(all, 6, &rng);
+  REQUIRE(drawn.size() == 6);
+  for (int i = 0; i < 4; ++i) CHECK(drawn[i].distance == Distance::kSameZone);
+  for (int i = 4; i < 6; ++i) CHECK(drawn[i].distance == Distance::kSameRegion);
+  CHECK(DrawCandidates(all, 20, &rng).size() == 8);
+  CHECK(DrawCandidates({all[2], all[5]}, 6, &rng).size() == 2);
+}
+
+TEST_CASE("more load or slowness never lowers the expected time") {
+  CHECK(rc::check("expected time grows with load", [] {
+    const LoadReading reading{*rc::gen::inRange(0, 8), *rc::gen::inRange(0, 8),
+                              *rc::gen::inRange(1, 6),
+                              *rc::gen::inRange(50, 900) / 100.0};
+    const Candidate lighter = MakeCandidate("a", Distance::kSameZone, reading);
+    Candidate heavier = lighter;
+    heavier.reading->running += *rc::gen::inRange(0, 4);
+    heavier.reading->slowness += *rc::gen::inRange(0, 300) / 100.0;
+    RC_ASSERT(ExpectedTime(lighter, SmallWork()) <=
+              ExpectedTime(heavier, SmallWork()));
+  }));
+}
+
+TEST_CASE("a request is refused where no server can answer in its time") {
+  const PlacementState state{milliseconds(0), milliseconds(300),
+                             milliseconds(1000), milliseconds(120)};
+  CHECK(std::holds_alternative<Refuse>(Decide(std::nullopt, state)));
+  const Choice late{0, milliseconds(1000), Vacancy::kFull};
+  CHECK(std::holds_alternative<Refuse>(Decide(late, state)));
+  const Choice in_time{0, milliseconds(999), Vacancy::kFull};
+  CHECK(std::holds_alternative<SendNow>(Decide(in_time, state)));
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -152,9 +152,9 @@
   request.request_id = fields.request_id;
   request.wait = fields.wait;
   request.read_at = SteadyClock::now();
-  request.has_body = message.find(http::field::content_length) !=
-                         message.end() ||
-                     message.chunked();
+  request.has_body =
+      message.find(http::field::content_length) != message.end() ||
+      message.chunked();
   for (const auto& field : message) {
     const std::string_view name = AsView(field.name_string());
     if (!wire::IsForwarded(name)) continue;
@@ -214,8 +214,8 @@
                                     std::string* out) const {
   const CallerAnswer& answer = *due.answer;
   *out += "HTTP/1.1 " + std::to_string(answer.status) + " ";
-  *out += AsView(
-      http::obsolete_reason(static_cast<http::status>(answer.status)));
+  *out +=
+      AsView(http::obsolete_reason(static_cast<http::status>(answer.status)));
   *out += "\r\n" + answer.fields;
   if (close) {
     *out += "Connection: close\r\n";
--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -56,8 +56,9 @@
   const auto address = asio::ip::make_address(endpoint_.address, error);
   if (!error) socket_.open(asio::ip::tcp::v4(), error);
   if (error) {
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this(), error] { self->OnConnected(error); });
+    asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+      self->OnConnected(error);
+    });
     return;
   }
   SetLivenessOptions(&socket_);
@@ -168,8 +169,7 @@
 void ClientConnection::FinishAnswer() {
   // After an early answer the rest of the request is still due on the
   // connection, so it cannot carry another one.
-  const bool keep =
-      parser_->keep_alive() && buffer_.size() == 0 && !writing_;
+  const bool keep = parser_->keep_alive() && buffer_.size() == 0 && !writing_;
   if (!keep) Close();
   Finish(ServerAnswer{parser_->release()});
 }
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -49,8 +49,7 @@
 // on the users' sheets is 1.1 MB; the rest is room.
 inline constexpr std::uint64_t kMaxAnswerBytes = 8u << 20;
 
-class ClientConnection
-    : public std::enable_shared_from_this<ClientConnection> {
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   // Starts to connect. Calls may be made at once.
   static std::shared_ptr<ClientConnection> Open(boost::asio::io_context* io,
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -129,8 +129,8 @@
   }
   const bool far = candidates_.front().distance == Distance::kOtherRegion;
   step_timer_.expires_after(far ? kAskLimitBetweenRegions : kAskLimitInRegion);
-  step_timer_.async_wait([self = shared_from_this(), round, purpose](
-                             const boost::system::error_code& error) {
+  step_timer_.async_wait([self = shared_from_this(), round,
+                          purpose](const boost::system::error_code& error) {
     if (!error && round == self->round_) self->Place(purpose);
   });
   const std::vector<Candidate> asked = candidates_;
@@ -142,10 +142,10 @@
       OnReply(round, i, {Health::kWell, known, asked[i].cold});
       continue;
     }
-    asker_->Ask(asked[i].server, [self = shared_from_this(), round,
-                                  i](const LoadReply& reply) {
-      self->OnReply(round, i, reply);
-    });
+    asker_->Ask(asked[i].server,
+                [self = shared_from_this(), round, i](const LoadReply& reply) {
+                  self->OnReply(round, i, reply);
+                });
   }
 }
 
@@ -172,13 +172,13 @@
         context_->observations.SentSinceReading(candidate.server.name);
   }
   // Servers that left, and zones taken out, while the questions were open.
-  candidates_.erase(
-      std::remove_if(candidates_.begin(), candidates_.end(),
-                     [&](const Candidate& candidate) {
-                       return context_->directory.FindUsable(
-                                  candidate.server.name, now) == nullptr;
-                     }),
-      candidates_.end());
+  candidates_.erase(std::remove_if(candidates_.begin(), candidates_.end(),
+                                   [&](const Candidate& candidate) {
+                                     return context_->directory.FindUsable(
+                                                candidate.server.name, now) ==
+                                            nullptr;
+                                   }),
+                    candidates_.end());
   const ExpectedWork work = context_->statistics.Expect(*route_);
   const std::optional<Choice> choice = ChooseServer(candidates_, work);
   if (purpose == Purpose::kSecondSend) {
@@ -230,8 +230,8 @@
   attempt->server = server;
   attempt->sent_at = now;
   attempt->slowness = candidate.reading ? candidate.reading->slowness : 1;
-  attempt->connection = context_->connections.Take(
-      server.endpoint, !route_->idempotent, now);
+  attempt->connection =
+      context_->connections.Take(server.endpoint, !route_->idempotent, now);
   attempts_.push_back(attempt);
   used_.insert(server.name);
   if (++sends_ == 1) {
@@ -244,8 +244,9 @@
        {"route", std::string_view(route_->name.str())},
        {"configuration", static_cast<double>(routes_->version)},
        {"server", std::string_view(server.name.str())},
-       {"running",
-        candidate.reading ? static_cast<double>(candidate.reading->running) : -1},
+       {"running", candidate.reading
+                       ? static_cast<double>(candidate.reading->running)
+                       : -1},
        {"slowness", candidate.reading ? candidate.reading->slowness : -1},
        {"asked", static_cast<double>(candidates_.size())},
        {"expected_ms", ToMilliseconds(expected)},
@@ -264,8 +265,8 @@
                         " HTTP/1.1\r\n" + request_.forwarded_fields +
                         wire::ServerRequestFields(server.name, TimeLeft());
   if (request_.has_body) {
-    request += "Content-Length: " + std::to_string(request_.body.size()) +
-               "\r\n";
+    request +=
+        "Content-Length: " + std::to_string(request_.body.size()) + "\r\n";
   }
   return request + "\r\n" + request_.body;
 }
@@ -298,10 +299,10 @@
 
 void Exchange::OnNotSent(const AttemptPtr& attempt, const NotSent& result) {
   context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
-  context_->log.Write(
-      "not-sent", {{"request", std::string_view(request_.request_id)},
-                   {"server", std::string_view(attempt->server.name.str())},
-                   {"problem", std::string_view(result.problem)}});
+  context_->log.Write("not-sent",
+                      {{"request", std::string_view(request_.request_id)},
+                       {"server", std::string_view(attempt->server.name.str())},
+                       {"problem", std::string_view(result.problem)}});
   context_->metrics.Count("attempts", "not-sent");
   --sends_;
   if (attempts_.empty()) Ask(Purpose::kAnswer);
@@ -311,13 +312,15 @@
                           const std::string& problem) {
   may_have_run_ = true;
   context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
-  context_->log.Write(
-      "no-answer", {{"request", std::string_view(request_.request_id)},
-                    {"server", std::string_view(attempt->server.name.str())},
-                    {"problem", std::string_view(problem)}});
+  context_->log.Write("no-answer",
+                      {{"request", std::string_view(request_.request_id)},
+                       {"server", std::string_view(attempt->server.name.str())},
+                       {"problem", std::string_view(problem)}});
   context_->metrics.Count("attempts", "no-answer");
   if (!attempts_.empty()) return;
   if (route_->idempotent && MaySendAgain()) {
+    // Where no other server is left, this one may answer over a new connection.
+    used_.erase(attempt->server.name);
     Ask(Purpose::kAnswer);
     return;
   }
@@ -333,8 +336,7 @@
   if (fields.load) {
     context_->observations.OnReading(attempt->server.name, *fields.load, now);
   }
-  const bool other_request =
-      !fields.request_id.empty() && fields.request_id != request_.request_id;
+  const bool other_request = fields.request_id != request_.request_id;
   if (other_request || (IsSuccess(status) && !fields.is_signed)) {
     attempt->connection->Cancel();
     OnNoAnswer(attempt, "an answer that belongs to another request");
@@ -363,11 +365,10 @@
 
 void Exchange::OnNotRun(const AttemptPtr& attempt, unsigned status) {
   context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
-  context_->log.Write(
-      "shed-by-server",
-      {{"request", std::string_view(request_.request_id)},
-       {"server", std::string_view(attempt->server.name.str())},
-       {"status", static_cast<double>(status)}});
+  context_->log.Write("shed-by-server",
+                      {{"request", std::string_view(request_.request_id)},
+                       {"server", std::string_view(attempt->server.name.str())},
+                       {"status", static_cast<double>(status)}});
   context_->metrics.Count("attempts", "shed");
   if (!attempts_.empty()) return;
   if (MaySendAgain()) {
@@ -446,15 +447,15 @@
   context_->metrics.Count("requests", outcome);
   context_->metrics.request_time.Observe(total);
   context_->log.Write(
-      "ended", {{"request", std::string_view(request_.request_id)},
-                {"route", route_ == nullptr
-                              ? std::string_view()
-                              : std::string_view(route_->name.str())},
-                {"outcome", outcome},
-                {"reason", reason},
-                {"status", static_cast<double>(answer.status)},
-                {"sends", static_cast<double>(sends_)},
-                {"total_ms", ToMilliseconds(total)}});
+      "ended",
+      {{"request", std::string_view(request_.request_id)},
+       {"route", route_ == nullptr ? std::string_view()
+                                   : std::string_view(route_->name.str())},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"status", static_cast<double>(answer.status)},
+       {"sends", static_cast<double>(sends_)},
+       {"total_ms", ToMilliseconds(total)}});
   const Done done = std::move(done_);
   if (done) done(std::move(answer));
 }
--- a/heatherlatch/traffic/load_asker.cc
+++ b/heatherlatch/traffic/load_asker.cc
@@ -57,8 +57,13 @@
   }
   const unsigned status = answer->message.result_int();
   const auto fields = wire::ReadServerAnswer(status, answer->message);
+  // A late answer to an earlier request on this connection.
+  if (!fields.request_id.empty() || fields.server.empty()) {
+    question.connection->Cancel();
+    return {};
+  }
   question.connection->idle_limit = fields.idle_timeout;
-  if (!fields.server.empty() && fields.server != name) {
+  if (fields.server != name) {
     return {Health::kOtherServer, std::nullopt, false};
   }
   LoadReply reply;
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -52,9 +52,10 @@
 
 std::string PeerRequest(const Endpoint& peer, const FeedQuestion& question) {
   const std::string body = Encode(question);
-  return std::string("POST ") + kFeedPath + " HTTP/1.1\r\nHost: " +
-         ToString(peer) + "\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+  return std::string("POST ") + kFeedPath +
+         " HTTP/1.1\r\nHost: " + ToString(peer) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 std::string Describe(const Source& source) {
@@ -97,7 +98,8 @@
 }
 
 bool PublishedFeed::StoreWasAway(TimePoint now) const {
-  return lost_ || (regained_at_ && now - *regained_at_ < kListedAgainWithin) ||
+  return store_away_ ||
+         (regained_at_ && now - *regained_at_ < kListedAgainWithin) ||
          (away_until_ && now < *away_until_);
 }
 
@@ -141,7 +143,7 @@
   }
   // The first call over a new path does not wait, so that it confirms at once.
   const bool confirmed = Age(SteadyClock::now()) < kMaxAge;
-  const milliseconds wait = !confirmed             ? milliseconds(0)
+  const milliseconds wait = !confirmed           ? milliseconds(0)
                             : choice_.IsReader() ? kReaderWait
                                                  : kOwnWait;
   context_->metrics.Count("store_calls", "watch");
@@ -160,17 +162,15 @@
 void PublishedFeed::Call(const Endpoint& endpoint, std::string request,
                          Duration limit) {
   const std::size_t call = ++call_;
-  if (!connection_ || !connection_->IsReusable() ||
-      connected_to_ != endpoint) {
+  if (!connection_ || !connection_->IsReusable() || connected_to_ != endpoint) {
     if (connection_) connection_->Cancel();
     connection_ = ClientConnection::Open(context_->io, endpoint);
     connected_to_ = endpoint;
   }
   asked_at_ = SteadyClock::now();
-  connection_->Call(std::move(request), false,
-                    [this, call](const CallResult& result) {
-                      OnResult(call, result);
-                    });
+  connection_->Call(
+      std::move(request), false,
+      [this, call](const CallResult& result) { OnResult(call, result); });
   ArmLimit(call, limit);
 }
 
@@ -198,7 +198,9 @@
   const auto& answer = std::get<ServerAnswer>(result).message;
   boost::leaf::try_handle_all(
       [&] { return OnAnswer(answer); },
-      [&](const wire::DocumentError& error) { OnFailure(error.problem, false); },
+      [&](const wire::DocumentError& error) {
+        OnFailure(error.problem, false);
+      },
       [&](const PeerMessageError& error) { OnFailure(error.problem, false); },
       [&] { OnFailure("the answer cannot be read", false); });
 }
@@ -230,13 +232,15 @@
 Result<void> PublishedFeed::OnStoreAnswer(const std::string& body) {
   BOOST_LEAF_AUTO(page, wire::ReadStorePage(body));
   const TimePoint now = SteadyClock::now();
+  hops_ = 0;
   if (knows_list_) {
     Merge(ToFeedPage(page, false));
     Succeed(now, page.items.empty() ? Duration::zero() : kTakeTogether);
     return {};
   }
   // Pages are no snapshot: changes since the first page are read again.
-  if (listed_.items.empty()) listed_ = ToFeedPage({{}, false, page.revision}, true);
+  if (listed_.items.empty())
+    listed_ = ToFeedPage({{}, false, page.revision}, true);
   listed_.items.insert(listed_.items.end(), page.items.begin(),
                        page.items.end());
   if (page.has_more && !page.items.empty()) {
@@ -260,7 +264,7 @@
   if (answer.store_was_away) away_until_ = now + kListedAgainWithin;
   const bool has_news = !answer.page.items.empty();
   Merge(answer.page);
-  if (answer.age > kMaxAge) {
+  if (answer.age > kMaxAge || answer.hops > kMaxHops) {
     followed_.reset();
     OnFailure("it is out of touch with the store", false);
     return {};
@@ -269,6 +273,7 @@
   knows_list_ = true;
   listed_ = {};
   followed_ = std::get<PeerSource>(source_).endpoint;
+  hops_ = answer.hops + 1;
   Succeed(now - answer.age, has_news ? kTakeTogether / 4 : Duration::zero());
   return {};
 }
@@ -278,13 +283,7 @@
   choice_.OnAnswer(source_, now - asked_at_, now);
   confirmed_at_ = std::max(confirmed_at_.value_or(confirmed_at), confirmed_at);
   failures_ = 0;
-  if (lost_) {
-    lost_ = false;
-    regained_at_ = now;
-    context_->log.Write("store-regained",
-                        {{"source", std::string_view(Describe(source_))},
-                         {"revision", static_cast<double>(items_.revision())}});
-  }
+  if (lost_) Regain(now);
   if (next > Duration::zero()) {
     After(next);
   } else {
@@ -301,18 +300,33 @@
   connection_ = nullptr;
   if (!knows_list_) listed_ = {};
   ++failures_;
-  const bool counts = slow || failures_ > 1;
-  if (counts && !lost_ && std::holds_alternative<StoreSource>(source_)) {
-    lost_ = true;
-    context_->log.Write("store-lost",
-                        {{"source", std::string_view(source)},
-                         {"problem", std::string_view(problem)},
-                         {"revision", static_cast<double>(items_.revision())}});
-    AnswerWaiting(true);
-  }
+  if (slow || failures_ > 1) Lose(source, problem);
   Ask();
 }
 
+void PublishedFeed::Lose(const std::string& source,
+                         const std::string& problem) {
+  if (std::holds_alternative<StoreSource>(source_)) store_away_ = true;
+  if (lost_) return;
+  lost_ = true;
+  context_->log.Write("store-lost",
+                      {{"source", std::string_view(source)},
+                       {"problem", std::string_view(problem)},
+                       {"revision", static_cast<double>(items_.revision())}});
+  AnswerWaiting(true);
+}
+
+void PublishedFeed::Regain(TimePoint now) {
+  lost_ = false;
+  // Another host tells by itself whether the store was away.
+  const bool from_store = std::holds_alternative<StoreSource>(source_);
+  if (store_away_ && from_store) regained_at_ = now;
+  store_away_ = false;
+  context_->log.Write("store-regained",
+                      {{"source", std::string_view(Describe(source_))},
+                       {"revision", static_cast<double>(items_.revision())}});
+}
+
 void PublishedFeed::Merge(const FeedPage& page) {
   const std::vector<PublishedItem> changed = items_.Merge(page);
   if (changed.empty()) return;
@@ -325,6 +339,7 @@
   FeedAnswer answer;
   answer.page = items_.ChangesSince(after);
   answer.age = std::chrono::duration_cast<milliseconds>(Age(now));
+  answer.hops = hops_;
   answer.store_was_away = StoreWasAway(now);
   return answer;
 }
@@ -351,7 +366,9 @@
                             {{"problem", std::string_view(error.problem)}});
         respond({kBadRequest, error.problem + "\n"});
       },
-      [&] { respond({kBadRequest, "the question cannot be read\n"}); });
+      [&] {
+        respond({kBadRequest, "the question cannot be read\n"});
+      });
 }
 
 void PublishedFeed::AnswerWaiting(bool all) {
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -66,6 +66,8 @@
   Result<void> OnPeerAnswer(const std::string& body);
   void OnHistoryGone();
   void OnFailure(const std::string& problem, bool slow);
+  void Lose(const std::string& source, const std::string& problem);
+  void Regain(TimePoint now);
   void Succeed(TimePoint confirmed_at, Duration next);
   void Merge(const FeedPage& page);
   void After(Duration delay);
@@ -95,6 +97,8 @@
   std::optional<TimePoint> confirmed_at_;
   int failures_ = 0;   // In a row.
   bool lost_ = false;  // No source has answered since failures that count.
+  bool store_away_ = false;  // The store was the last to fail of them.
+  int hops_ = 0;             // Hosts between this one and the store.
   std::optional<TimePoint> regained_at_;
   std::optional<TimePoint> away_until_;  // As other hosts told.
   bool stopped_ = false;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -111,8 +111,8 @@
           context_.log.Write("accept-failed",
                              {{"problem", std::string_view(error.message())}});
         } else {
-          auto caller = std::make_shared<CallerConnection>(
-              std::move(socket), &context_, &asker_);
+          auto caller = std::make_shared<CallerConnection>(std::move(socket),
+                                                           &context_, &asker_);
           callers_.push_back(caller);
           caller->Start();
         }
@@ -206,25 +206,25 @@
     } else {
       context_.directory.Remove(BackendServerName(name));
     }
-    context_.log.Write(may_return ? "server-missing" : "server-gone",
-                       {{"server", std::string_view(name)},
-                        {"revision", revision}});
+    context_.log.Write(
+        may_return ? "server-missing" : "server-gone",
+        {{"server", std::string_view(name)}, {"revision", revision}});
     return;
   }
   const auto record = ReadServer(name, item);
   if (!record) return;
   context_.directory.Put(*record, now);
-  context_.log.Write(record->draining ? "server-draining" : "server-listed",
-                     {{"server", std::string_view(name)},
-                      {"revision", revision}});
+  context_.log.Write(
+      record->draining ? "server-draining" : "server-listed",
+      {{"server", std::string_view(name)}, {"revision", revision}});
 }
 
-std::optional<ServerRecord> TrafficHost::ReadServer(
-    const std::string& name, const PublishedItem& item) {
+std::optional<ServerRecord> TrafficHost::ReadServer(const std::string& name,
+                                                    const PublishedItem& item) {
   const auto refuse = [&](std::string_view problem) {
-    context_.log.Write("server-entry-refused",
-                       {{"server", std::string_view(name)},
-                        {"problem", problem}});
+    context_.log.Write(
+        "server-entry-refused",
+        {{"server", std::string_view(name)}, {"problem", problem}});
     return std::optional<ServerRecord>();
   };
   return boost::leaf::try_handle_all(
--- /dev/null
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -0,0 +1,117 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "heatherlatch/traffic/decision_log.h"
+#include "heatherlatch/traffic/route_statistics.h"
+#include "heatherlatch/traffic/traffic_metrics.h"
+
+namespace heatherlatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Pipe {
+  Pipe() { REQUIRE(::pipe(ends) == 0); }
+  ~Pipe() {
+    ::close(ends[0]);
+    ::close(ends[1]);
+  }
+  std::string ReadSome() const {
+    std::string bytes(1 << 20, '\0');
+    ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    const ssize_t size = ::read(ends[0], bytes.data(), bytes.size());
+    bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return bytes;
+  }
+  int ends[2];
+};
+
+TEST_CASE("a decision is one line of JSON, whatever its fields hold") {
+  Pipe pipe;
+  DecisionLog log(pipe.ends[1], 100'000);
+  log.Write("placed", {{"request", std::string_view("a\"b\\c\n\x01")},
+                       {"waited_ms", 1.5}});
+  log.Flush();
+  const std::string line = pipe.ReadSome();
+  CHECK(line.find('\n') == line.size() - 1);
+  const auto read = nlohmann::json::parse(line);
+  CHECK(read.at("event") == "placed");
+  CHECK(read.at("request") == "a\"b\\c\n\x01");
+  CHECK(read.at("waited_ms") == 1.5);
+}
+
+TEST_CASE("a reader that stops reading costs lines, and is told how many") {
+  Pipe pipe;
+  constexpr std::size_t kMaxWaiting = 20'000;
+  DecisionLog log(pipe.ends[1], kMaxWaiting);
+  constexpr int kLines = 20'000;
+  for (int i = 0; i < kLines; ++i) {
+    log.Write("line", {{"number", static_cast<double>(i)}});
+  }
+  CHECK(log.left_out() > 0);
+  std::string read;
+  for (int i = 0; i < 20; ++i) {
+    read += pipe.ReadSome();
+    log.Flush();
+  }
+  log.Write("last", {});
+  log.Flush();
+  read += pipe.ReadSome();
+  std::uint64_t told = 0;
+  std::uint64_t lines = 0;
+  std::istringstream text(read);
+  for (std::string line; std::getline(text, line);) {
+    const auto parsed = nlohmann::json::parse(line);
+    if (parsed.at("event") == "line") ++lines;
+    if (parsed.at("event") == "lines-left-out") {
+      told += parsed.at("count").get<std::uint64_t>();
+    }
+  }
+  CHECK(told == log.left_out());
+  CHECK(lines + told == kLines);
+}
+
+TEST_CASE("the usual time of a route is that of an undisturbed server") {
+  RouteStatistics statistics;
+  TrafficRoute route;
+  route.name = RouteName("r");
+  route.latency_target = milliseconds(300);
+  CHECK(statistics.Expect(route).service_time > milliseconds(0));
+  CHECK(statistics.Expect(route).service_time < milliseconds(300));
+  for (int i = 0; i < 200; ++i) {
+    statistics.OnAnswer(route.name, milliseconds(700), 7, 5000);
+  }
+  CHECK(ToMilliseconds(statistics.Expect(route).service_time) ==
+        Approx(100).margin(1));
+  CHECK(statistics.Expect(route).answer_bytes == Approx(5000));
+}
+
+TEST_CASE("a heavy route is expected to be heavy before its first answer") {
+  RouteStatistics statistics;
+  TrafficRoute route;
+  route.name = RouteName("r");
+  route.heavy = true;
+  CHECK(statistics.Expect(route).answer_bytes > 50'000);
+}
+
+TEST_CASE("metrics are Prometheus text") {
+  TrafficMetrics metrics;
+  metrics.Count("requests", "answered");
+  metrics.Count("requests", "answered");
+  metrics.request_time.Observe(milliseconds(30));
+  const std::string text = metrics.Text();
+  CHECK(text.find("heatherlatch_requests_total{outcome=\"answered\"} 2\n") !=
+        std::string::npos);
+  CHECK(text.find("heatherlatch_request_seconds_bucket{le=\"0.025\"} 0\n") !=
+        std::string::npos);
+  CHECK(text.find("heatherlatch_request_seconds_bucket{le=\"0.05\"} 1\n") !=
+        std::string::npos);
+  CHECK(text.find("heatherlatch_request_seconds_count 1\n") !=
+        std::string::npos);
+}
+
+}  // namespace
+}  // namespace heatherlatch
