Explain a request from the logs, tell what refused it, and follow a changed settings file

A line "not-placed" holds the inputs of each wait and refusal; the reason of a refusal says whether room, time or servers were missing (deadline-too-short was called queue-full). heatherlatch-explain gathers a request's lines over hosts, with what its host learnt around it, and says the cause in a sentence.

The settings file is read again when it changes without a signal.

--- a/heatherlatch/steering/burst_test.cc
+++ b/heatherlatch/steering/burst_test.cc
@@ -48,7 +48,7 @@
 
 PatienceVerdict SendAtOnce(const std::optional<Choice>& choice,
                            const PlacementState&) {
-  if (!choice) return Refuse{kRetryAfter};
+  if (!choice) return Refuse{NotRunReason::kNoServer, kRetryAfter};
   return SendNow{};
 }
 
--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -39,8 +39,9 @@
 
 PatienceVerdict Decide(const std::optional<Choice>& choice,
                        const PlacementState& state) {
-  if (!choice || choice->expected >= state.time_left) {
-    return Refuse{kRetryAfter};
+  if (!choice) return Refuse{NotRunReason::kNoServer, kRetryAfter};
+  if (choice->expected >= state.time_left) {
+    return Refuse{NotRunReason::kDeadlineTooShort, kRetryAfter};
   }
   const Duration target_left = TargetLeft(state);
   if (choice->expected <= target_left) return SendNow{};
@@ -52,7 +53,7 @@
   if (has_room) return SendNow{};
   if (MayWaitLate(state)) return AskAgain{kAskAgainWhenLate};
   if (is_free) return SendNow{};
-  return Refuse{kRetryAfter};
+  return Refuse{NotRunReason::kQueueFull, kRetryAfter};
 }
 
 bool ShouldAskFarther(const std::optional<Choice>& choice,
--- a/heatherlatch/steering/patience.h
+++ b/heatherlatch/steering/patience.h
@@ -14,6 +14,7 @@
 
 #include <variant>
 
+#include "heatherlatch/base/outcome.h"
 #include "heatherlatch/base/time.h"
 #include "heatherlatch/steering/steering.h"
 
@@ -24,6 +25,7 @@
   Duration after{};
 };
 struct Refuse {
+  NotRunReason reason = NotRunReason::kNoServer;
   Duration retry_after{};
 };
 using PatienceVerdict = std::variant<SendNow, AskAgain, Refuse>;
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -228,6 +228,7 @@
   if (std::holds_alternative<SendNow>(verdict)) {
     Send(candidates_[choice->index], choice->expected);
   } else if (const auto* again = std::get_if<AskAgain>(&verdict)) {
+    if (++waits_ == 1) LogNotPlaced("waits", choice);
     step_timer_.expires_after(again->after);
     step_timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
@@ -236,11 +237,28 @@
   } else if (may_have_run_) {
     FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
   } else {
-    RefuseNotRun(choice ? NotRunReason::kQueueFull : NotRunReason::kNoServer,
-                 std::get<Refuse>(verdict).retry_after);
+    const auto& refusal = std::get<Refuse>(verdict);
+    LogNotPlaced(ToString(refusal.reason), choice);
+    RefuseNotRun(refusal.reason, refusal.retry_after);
   }
 }
 
+void Exchange::LogNotPlaced(std::string_view reason,
+                            const std::optional<Choice>& choice) {
+  context_->log.Write(
+      "not-placed",
+      {{"request", request_.request_id},
+       {"reason", reason},
+       {"configuration", static_cast<double>(routes_->version)},
+       {"asked", static_cast<double>(candidates_.size())},
+       {"best_ms", choice ? ToMilliseconds(choice->expected) : -1},
+       {"best_is_full",
+        choice && choice->vacancy == Vacancy::kFull ? 1.0 : 0.0},
+       {"waits", static_cast<double>(waits_)},
+       {"waited_ms", ToMilliseconds(Waited())},
+       {"left_ms", ToMilliseconds(TimeLeft())}});
+}
+
 void Exchange::PlaceSecond(const std::optional<Choice>& choice) {
   const bool in_time =
       choice && choice->vacancy == Vacancy::kFree &&
@@ -281,6 +299,7 @@
        {"asked", static_cast<double>(candidates_.size())},
        {"expected_ms", ToMilliseconds(expected)},
        {"send", static_cast<double>(sends_)},
+       {"waits", static_cast<double>(waits_)},
        {"waited_ms", ToMilliseconds(now - request_.read_at)}});
   attempt->connection->Call(
       ServerRequest(server), request_.method == "HEAD",
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -81,6 +81,8 @@
   std::vector<Candidate> Eligible() const;
   void OnReply(std::size_t round, std::size_t index, const LoadReply& reply);
   void Place(Purpose purpose);
+  void LogNotPlaced(std::string_view reason,
+                    const std::optional<Choice>& choice);
   void PlaceSecond(const std::optional<Choice>& choice);
   void Send(const Candidate& candidate, Duration expected);
   std::string ServerRequest(const ServerRecord& server) const;
@@ -127,6 +129,7 @@
   std::vector<AttemptPtr> attempts_;  // Under way.
   std::set<BackendServerName> used_;
   int sends_ = 0;
+  int waits_ = 0;  // Rounds of questions after which it was not sent.
   bool may_have_run_ = false;
   bool finished_ = false;
 };
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -16,6 +16,10 @@
 // Between two rounds of upkeep. Source: a tenth of the shortest idle time-out.
 constexpr Duration kTick = std::chrono::milliseconds(500);
 
+// The settings file may change without a signal. Source: seeds that change lag
+// by seconds anyway.
+constexpr int kTicksBetweenSettings = 4;
+
 // A host that was suspended for longer doubts what it knows of the store.
 constexpr Duration kSuspensionNoticed = std::chrono::milliseconds(250);
 
@@ -142,6 +146,7 @@
 void TrafficHost::OnTick() {
   const TimePoint now = SteadyClock::now();
   CheckForSuspension();
+  if (++ticks_ % kTicksBetweenSettings == 0) CheckSettings();
   asker_.Sweep(now);
   context_.connections.CloseIdle(now);
   context_.directory.Expire(now);
@@ -167,10 +172,9 @@
 
 void TrafficHost::CheckSettings() {
   const std::optional<TrafficHostSettings> settings = load_settings_();
-  context_.log.Write("reloaded",
-                     {{"outcome", settings ? std::string_view("taken")
-                                           : std::string_view("refused")}});
   if (!settings) return;
+  context_.log.Write("settings-taken",
+                     {{"seeds", static_cast<double>(settings->seeds.size())}});
   context_.settings.seeds = settings->seeds;
   context_.settings.zones = settings->zones;
   context_.settings.platform = settings->platform;
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -26,8 +26,8 @@
 namespace heatherlatch {
 
 class TrafficHost {
- public:
-  // Reads the settings again; nothing where they cannot be used.
+ public:  // Reads the settings again; nothing where they did not change or
+          // cannot be used.
   using LoadSettings = std::function<std::optional<TrafficHostSettings>()>;
 
   TrafficHost(boost::asio::io_context* io, const TrafficHostSettings& settings,
@@ -71,6 +71,7 @@
   boost::asio::steady_timer tick_timer_;
   std::list<std::weak_ptr<CallerConnection>> callers_;
   std::optional<TimePoint> stop_began_;
+  int ticks_ = 0;
   Duration suspended_{};  // Total time that the steady clock stood still.
 };
 
--- /dev/null
+++ b/programs/explain/explanation.cc
@@ -0,0 +1,167 @@
+#include "programs/explain/explanation.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace heatherlatch {
+namespace {
+
+using Json = nlohmann::json;
+
+// Changes of this time before a request, and after its end, may explain it.
+// Source: twice the time that a change may take to reach a host.
+constexpr std::int64_t kContextMs = 8000;
+
+std::string Text(const Json& fields, const char* name) {
+  const auto found = fields.find(name);
+  return found != fields.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
+}
+
+std::string Number(const Json& fields, const char* name) {
+  const auto found = fields.find(name);
+  return found == fields.end() ? "?" : found->dump();
+}
+
+bool IsOlder(const LogLine& a, const LogLine& b) { return a.at_ms < b.at_ms; }
+
+const LogLine* FindLast(const std::vector<LogLine>& lines,
+                        const std::string& event) {
+  for (auto it = lines.rbegin(); it != lines.rend(); ++it) {
+    if (Text(it->fields, "event") == event) return &*it;
+  }
+  return nullptr;
+}
+
+std::string RefusedCause(const std::string& reason, const Json& ended) {
+  const std::string waited = Number(ended, "total_ms") + " ms";
+  static const std::map<std::string, std::string> kCauses = {
+      {"queue-full", "no server that it may use had room in time"},
+      {"no-server", "the host knew no server that it may use"},
+      {"deadline-too-short", "no server could answer in the time left"},
+      {"shed-by-server", "the servers that it was sent to refused it"},
+      {"no-route", "the configuration of the host has no route for it"},
+      {"configuration-unavailable", "the host knew no configuration yet"},
+  };
+  const auto found = kCauses.find(reason);
+  const std::string cause = found == kCauses.end() ? reason : found->second;
+  return "Refused after " + waited + ", not run: " + cause + ".";
+}
+
+std::string UnknownCause(const std::string& reason,
+                         const std::vector<LogLine>& lines, const Json& ended) {
+  const LogLine* placed = FindLast(lines, "placed");
+  const std::string server =
+      placed == nullptr ? "no server" : Text(placed->fields, "server");
+  const LogLine* lost = FindLast(lines, "no-answer");
+  if (lost != nullptr) {
+    return "It may have run: server " + Text(lost->fields, "server") +
+           " ended without a whole answer (" + Text(lost->fields, "problem") +
+           ").";
+  }
+  return "It may have run: server " + server + " had not answered after " +
+         Number(ended, "total_ms") + " ms (" + reason + ").";
+}
+
+std::string FindCause(const std::vector<LogLine>& lines) {
+  if (lines.empty()) return "No line tells of this request.";
+  const LogLine* ended = FindLast(lines, "ended");
+  if (ended == nullptr) {
+    return FindLast(lines, "caller-gone") != nullptr
+               ? "The caller left before its answer."
+               : "The request had not ended when the log did.";
+  }
+  const std::string outcome = Text(ended->fields, "outcome");
+  const std::string reason = Text(ended->fields, "reason");
+  if (outcome == "refused") return RefusedCause(reason, ended->fields);
+  if (outcome == "unknown") return UnknownCause(reason, lines, ended->fields);
+  return "Server " + reason + " answered it with status " +
+         Number(ended->fields, "status") + " after " +
+         Number(ended->fields, "total_ms") + " ms.";
+}
+
+std::vector<LogLine> FindContext(const std::vector<LogLine>& request_lines,
+                                 const std::vector<LogLine>& lines) {
+  static const std::set<std::string> kChanges = {
+      "configuration",  "server-draining",     "server-gone",
+      "server-missing", "zone-out-of-service", "zone-in-service",
+      "store-lost",     "store-regained",      "started"};
+  std::vector<LogLine> context;
+  if (request_lines.empty()) return context;
+  std::set<std::string> servers;
+  std::set<std::string> sources;
+  for (const LogLine& line : request_lines) {
+    servers.insert(Text(line.fields, "server"));
+    sources.insert(line.source);
+  }
+  const std::int64_t from = request_lines.front().at_ms - kContextMs;
+  const std::int64_t until = request_lines.back().at_ms + kContextMs;
+  for (const LogLine& line : lines) {
+    if (line.at_ms < from || line.at_ms > until) continue;
+    if (sources.count(line.source) == 0) continue;
+    if (kChanges.count(Text(line.fields, "event")) == 0) continue;
+    const std::string server = Text(line.fields, "server");
+    if (server.empty() || servers.count(server) > 0) context.push_back(line);
+  }
+  std::stable_sort(context.begin(), context.end(), IsOlder);
+  return context;
+}
+
+void Print(const std::vector<LogLine>& lines, std::ostream* out) {
+  for (const LogLine& line : lines) {
+    *out << line.source << " " << line.fields.dump() << "\n";
+  }
+}
+
+}  // namespace
+
+std::vector<LogLine> ReadLines(const std::string& text,
+                               const std::string& source) {
+  std::vector<LogLine> lines;
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) {
+    const std::size_t brace = line.find('{');
+    if (brace == std::string::npos) continue;
+    LogLine read;
+    read.fields = Json::parse(line.substr(brace), nullptr, false);
+    if (!read.fields.is_object() || !read.fields.contains("at_ms") ||
+        !read.fields["at_ms"].is_number()) {
+      continue;
+    }
+    read.at_ms = read.fields["at_ms"].get<std::int64_t>();
+    std::istringstream before(line.substr(0, brace));
+    read.source = source;
+    for (std::string word; before >> word;) read.source = word;
+    lines.push_back(std::move(read));
+  }
+  return lines;
+}
+
+Explanation Explain(const std::string& request,
+                    const std::vector<LogLine>& lines) {
+  Explanation explanation;
+  for (const LogLine& line : lines) {
+    if (Text(line.fields, "request") == request) {
+      explanation.lines.push_back(line);
+    }
+  }
+  std::stable_sort(explanation.lines.begin(), explanation.lines.end(), IsOlder);
+  explanation.context = FindContext(explanation.lines, lines);
+  explanation.cause = FindCause(explanation.lines);
+  return explanation;
+}
+
+std::string ToString(const Explanation& explanation) {
+  std::ostringstream out;
+  Print(explanation.lines, &out);
+  if (!explanation.context.empty()) {
+    out << "What its host learnt around it:\n";
+    Print(explanation.context, &out);
+  }
+  out << explanation.cause << "\n";
+  return out.str();
+}
+
+}  // namespace heatherlatch
--- /dev/null
+++ b/programs/explain/explanation_test.cc
@@ -0,0 +1,61 @@
+#include "programs/explain/explanation.h"
+
+#include <catch2/catch.hpp>
+
+namespace heatherlatch {
+namespace {
+
+constexpr char kLog[] = R"(
+  0.1 host-1 {"at_ms":1000,"event":"configuration","version":4,"before":0}
+  2.0 host-1 {"at_ms":20000,"event":"placed","request":"a","server":"i-1","waited_ms":2.5}
+not a line of the log
+  2.1 host-1 {"at_ms":20100,"event":"no-answer","request":"a","server":"i-1","problem":"read: End of file"}
+  2.1 host-1 {"at_ms":20101,"event":"ended","request":"a","outcome":"unknown","reason":"answer-lost","status":502,"total_ms":103}
+  2.2 host-1 {"at_ms":20200,"event":"server-gone","server":"i-1","revision":7}
+  2.2 host-1 {"at_ms":20200,"event":"server-gone","server":"i-9","revision":8}
+  2.2 host-2 {"at_ms":20200,"event":"server-gone","server":"i-1","revision":7}
+  3.0 host-2 {"at_ms":30000,"event":"ended","request":"b","outcome":"refused","reason":"queue-full","status":503,"total_ms":640}
+  3.0 host-2 {"at_ms":30000,"event":"caller-gone","request":"c","waited_ms":5}
+  3.0 host-2 {"at_ms":30000,"event":"ended","request":"d","outcome":"answered","reason":"i-2","status":504,"total_ms":2000}
+  3.0 host-2 {"at_ms":30000,"event":"placed","request":"e","server":"i-2"}
+  3.0 host-2 {"at_ms":31000,"event":"ended","request":"e","outcome":"unknown","reason":"deadline-exceeded","status":504,"total_ms":1500}
+)";
+
+std::string CauseOf(const std::string& request) {
+  return Explain(request, ReadLines(kLog, "log")).cause;
+}
+
+TEST_CASE("a lost answer is explained by its server's end") {
+  const Explanation explanation = Explain("a", ReadLines(kLog, "log"));
+  CHECK(explanation.lines.size() == 3);
+  CHECK(explanation.cause ==
+        "It may have run: server i-1 ended without a whole answer (read: End "
+        "of file).");
+  REQUIRE(explanation.context.size() == 1);
+  CHECK(explanation.context[0].source == "host-1");
+  CHECK(explanation.context[0].fields.at("server") == "i-1");
+}
+
+TEST_CASE("each kind of end has its cause") {
+  CHECK(CauseOf("b") ==
+        "Refused after 640 ms, not run: no server that it may use had room in "
+        "time.");
+  CHECK(CauseOf("c") == "The caller left before its answer.");
+  CHECK(CauseOf("d") ==
+        "Server i-2 answered it with status 504 after 2000 ms.");
+  CHECK(CauseOf("e") ==
+        "It may have run: server i-2 had not answered after 1500 ms "
+        "(deadline-exceeded).");
+  CHECK(CauseOf("x") == "No line tells of this request.");
+}
+
+TEST_CASE("the printed explanation ends with the cause") {
+  const std::string text = ToString(Explain("a", ReadLines(kLog, "log")));
+  CHECK(text.find("host-1 {") == 0);
+  CHECK(text.find("What its host learnt around it:\n") != std::string::npos);
+  CHECK(text.substr(text.rfind('\n', text.size() - 2) + 1)
+            .rfind("It may have run", 0) == 0);
+}
+
+}  // namespace
+}  // namespace heatherlatch
--- a/programs/host/main.cc
+++ b/programs/host/main.cc
@@ -32,38 +32,57 @@
   2  an endpoint cannot be listened on
   3  wrong usage, or the settings cannot be read)";
 
-// Reads the settings and tells every finding on standard error.
-// @return the settings, or the exit code
-std::variant<TrafficHostSettings, ExitCode> LoadSettings(
-    const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << "heatherlatch-host: settings file \"" << path
-              << "\" cannot be read\n";
-    return kUsage;
+// The settings file, which the platform may replace at any time.
+class SettingsFile {
+ public:
+  explicit SettingsFile(std::string path) : path_(std::move(path)) {}
+
+  // Reads the file and tells every finding on standard error.
+  // @return the settings, or the exit code
+  std::variant<TrafficHostSettings, ExitCode> Load() {
+    std::ifstream file(path_);
+    if (!file) {
+      std::cerr << "heatherlatch-host: settings file \"" << path_
+                << "\" cannot be read\n";
+      return kUsage;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    text_ = text.str();
+    auto read = ReadTrafficHostSettings(text_);
+    if (auto* settings = std::get_if<TrafficHostSettings>(&read)) {
+      return std::move(*settings);
+    }
+    for (const Finding& finding : std::get<std::vector<Finding>>(read)) {
+      std::cerr << path_ << ": " << ToString(finding) << "\n";
+    }
+    return kSettingsRefused;
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  auto read = ReadTrafficHostSettings(text.str());
-  if (auto* settings = std::get_if<TrafficHostSettings>(&read)) {
+
+  // @return the settings, where the file changed since it was read and they
+  //     can be used
+  std::optional<TrafficHostSettings> LoadIfChanged() {
+    std::ifstream file(path_);
+    std::stringstream text;
+    text << file.rdbuf();
+    // A file that is being replaced may be missing for a moment.
+    if (!file || text.str() == text_) return std::nullopt;
+    auto again = Load();
+    auto* settings = std::get_if<TrafficHostSettings>(&again);
+    if (settings == nullptr) return std::nullopt;
     return std::move(*settings);
   }
-  for (const Finding& finding : std::get<std::vector<Finding>>(read)) {
-    std::cerr << path << ": " << ToString(finding) << "\n";
-  }
-  return kSettingsRefused;
-}
+
+ private:
+  std::string path_;
+  std::string text_;  // As it was read last.
+};
 
 int RunHost(const std::string& path) {
-  const auto loaded = LoadSettings(path);
+  SettingsFile file(path);
+  const auto loaded = file.Load();
   if (const auto* code = std::get_if<ExitCode>(&loaded)) return *code;
-  const auto reload = [path]() -> std::optional<TrafficHostSettings> {
-    auto again = LoadSettings(path);
-    if (auto* settings = std::get_if<TrafficHostSettings>(&again)) {
-      return std::move(*settings);
-    }
-    return std::nullopt;
-  };
+  const auto reload = [&file] { return file.LoadIfChanged(); };
   return boost::leaf::try_handle_all(
       [&]() -> Result<int> {
         boost::asio::io_context io(1);
