Ask sources that are out of touch again soon and in turn

Cause, found by a model of 16 hosts in virtual time (relay_model_test): a reader that the store turned away could wait 2.5 s for its next call to the store while a host that asked it was in touch; it asked the same hosts first each time and never reached the one in touch; a host whose readers failed counted as lost although it reached the store. Slowest of 600 deployments, 9 s with 0, 35 and 60 of 100 hosts turned away: never before, 920 ms after; bound 2,500 ms. Without the rule on hops the same test gives 2,680 ms and fails.

Ruled out: shorter waits at the store, which cost calls.

A host's retry reserve is one: 1.6 on deployments of today, and on the grown sites 5 on each of 127 hosts, which exceeded the deployment's 200 in sum.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -40,6 +40,10 @@
 
 }  // namespace
 
+bool IsInTouch(const FeedAnswer& answer) {
+  return answer.age <= kLongestAge && answer.hops <= kMaxHops;
+}
+
 std::string Encode(const FeedQuestion& question) {
   return ToBytes({{"from", ToString(question.asker)},
                   {"after", question.after},
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -31,6 +31,10 @@
 // not.
 inline constexpr int kMaxHops = 1;
 
+// An answer that was confirmed longer ago does not count either. Source: what
+// is left of the shortest bound on following a change after one question.
+inline constexpr std::chrono::milliseconds kLongestAge{2200};
+
 struct FeedAnswer {
   FeedPage page;
   // Since the store last confirmed what the answering host knows.
@@ -41,6 +45,11 @@
   bool store_was_away = false;
 };
 
+// @return whether the answering host is in touch with the store, so that an
+// asker
+//     that follows it is too
+bool IsInTouch(const FeedAnswer& answer);
+
 std::string Encode(const FeedQuestion& question);
 std::string Encode(const FeedAnswer& answer);
 Result<FeedQuestion> DecodeFeedQuestion(std::string_view bytes);
--- a/heatherlatch/relay/source_choice.cc
+++ b/heatherlatch/relay/source_choice.cc
@@ -9,6 +9,10 @@
 
 constexpr int kMaxDoublings = 5;
 
+// How long a source that failed stays behind the others. Source: as long as one
+// that asked counts as a source.
+constexpr Duration kFailureRemembered = kAskerMemory;
+
 Duration StoreRetry(int failures) {
   const int doublings = std::min(failures - 1, kMaxDoublings);
   return std::min(kLongestStoreRetry, kFirstStoreRetry * (1 << doublings));
@@ -32,23 +36,38 @@
   }
 }
 
-bool SourceChoice::MayAsk(const Peer& peer, TimePoint now) const {
-  return !peer.failed_at || now - *peer.failed_at >= kPassedOver;
+bool SourceChoice::MayAsk(const Peer& peer, TimePoint now) {
+  return !peer.passed_over_until || now >= *peer.passed_over_until;
 }
 
+Duration SourceChoice::Pause(TimePoint now) const {
+  Duration pause = StoreRetry(store_failures_) - (now - *store_failed_at_);
+  for (const auto& [endpoint, peer] : peers_) {
+    if (!MayAsk(peer, now)) {
+      pause = std::min(pause, *peer.passed_over_until - now);
+    }
+  }
+  return pause;
+}
 std::optional<Endpoint> SourceChoice::BestPeer(bool readers_only,
                                                TimePoint now) const {
+  // Those that failed lately come last, the longest ago first, so that each
+  // gets its turn; of the others the nearest is best.
+  using Rank = std::pair<TimePoint, Duration>;
   const Endpoint* best = nullptr;
-  Duration best_round_trip{};
+  Rank best_rank;
   for (const auto& [endpoint, peer] : peers_) {
     const bool asked_lately =
         peer.asked_us_at && now - *peer.asked_us_at < kAskerMemory;
     const bool fits = peer.is_reader || (!readers_only && asked_lately);
     if (!fits || !MayAsk(peer, now)) continue;
-    if (best == nullptr || peer.round_trip < best_round_trip) {
-      best = &endpoint;
-      best_round_trip = peer.round_trip;
-    }
+    const bool failed_lately =
+        peer.failed_at && now - *peer.failed_at < kFailureRemembered;
+    const Rank rank(failed_lately ? *peer.failed_at : TimePoint::min(),
+                    peer.round_trip);
+    if (best != nullptr && best_rank <= rank) continue;
+    best = &endpoint;
+    best_rank = rank;
   }
   return best == nullptr ? std::nullopt : std::make_optional(*best);
 }
@@ -91,8 +110,7 @@
   if (store) return *store;
   const auto peer = BestPeer(false, now);
   if (peer) return {PeerSource{*peer}, Duration::zero()};
-  return {StoreSource{},
-          StoreRetry(store_failures_) - (now - *store_failed_at_)};
+  return {StoreSource{}, Pause(now)};
 }
 
 void SourceChoice::OnAnswer(const Source& source, Duration round_trip,
@@ -101,6 +119,7 @@
   if (const auto* asked = std::get_if<PeerSource>(&source)) {
     Peer& peer = peers_[asked->endpoint];
     peer.failed_at.reset();
+    peer.passed_over_until.reset();
     peer.round_trip = round_trip;
     return;
   }
@@ -110,7 +129,9 @@
 
 void SourceChoice::OnFailure(const Source& source, TimePoint now) {
   if (const auto* asked = std::get_if<PeerSource>(&source)) {
-    peers_[asked->endpoint].failed_at = now;
+    Peer& peer = peers_[asked->endpoint];
+    peer.failed_at = now;
+    peer.passed_over_until = now + kPassedOver;
     return;
   }
   asks_store_first_ = false;
@@ -118,6 +139,13 @@
   store_failed_at_ = now;
 }
 
+void SourceChoice::OnOutOfTouch(const Source& source, TimePoint now) {
+  OnFailure(source, now);
+  if (const auto* asked = std::get_if<PeerSource>(&source)) {
+    peers_[asked->endpoint].passed_over_until = now + kOutOfTouchPassedOver;
+  }
+}
+
 void SourceChoice::OnAskedBy(const Endpoint& peer, TimePoint now) {
   peers_[peer].asked_us_at = now;
   for (auto it = peers_.begin(); it != peers_.end();) {
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -40,6 +40,11 @@
 // deployment are asked again about as often as a host may be restarted.
 inline constexpr Duration kPassedOver = std::chrono::seconds(2);
 
+// How long one that answered that it is out of touch is passed over; it may
+// soon find a source. Source: a tenth of the shortest bound on following a
+// change.
+inline constexpr Duration kOutOfTouchPassedOver =
+    std::chrono::milliseconds(250);
 // Between two calls of one host to a store that turns it away; doubled with
 // each up to the longest, since refused calls have their price too.
 inline constexpr Duration kFirstStoreRetry = std::chrono::milliseconds(150);
@@ -70,12 +75,17 @@
   void SetReaders(const std::vector<Endpoint>& readers);
 
   // @return whether this host asks the store before any other host
-  bool IsReader() const { return is_reader_; }
-
-  Step Next(TimePoint now);
-
-  void OnAnswer(const Source& source, Duration round_trip, TimePoint now);
+  bool IsReader() const { return is_reader_; }  Step Next(TimePoint now);
+
+  // @return whether the store turned this host away when it was asked last; a
+  //     host that only readers failed may still reach the store
+  bool IsTurnedAway() const { return store_failures_ > 0; }
+void OnAnswer(
+      const Source& source, Duration round_trip,
+      TimePoint now);  // The source did not answer, or turned the host away.
   void OnFailure(const Source& source, TimePoint now);
+  // The source answered that it is out of touch with the store.
+  void OnOutOfTouch(const Source& source, TimePoint now);
   // Another host asked this one, so it can be asked in turn.
   void OnAskedBy(const Endpoint& peer, TimePoint now);
 
@@ -83,13 +93,16 @@
   struct Peer {
     bool is_reader = false;
     std::optional<TimePoint> failed_at;
+    std::optional<TimePoint> passed_over_until;
     std::optional<TimePoint> asked_us_at;
     Duration round_trip{};
   };
 
   // @return a step to a reader while readers may still be starting
   std::optional<Step> FirstStep(TimePoint now) const;
-  bool MayAsk(const Peer& peer, TimePoint now) const;
+  static bool MayAsk(const Peer& peer, TimePoint now);
+  // @return the wait until a source may be asked, when none may now
+  Duration Pause(TimePoint now) const;
   std::optional<Endpoint> BestPeer(bool readers_only, TimePoint now) const;
   std::optional<Step> StoreStep(TimePoint now) const;
 
--- a/heatherlatch/relay/source_choice_test.cc
+++ b/heatherlatch/relay/source_choice_test.cc
@@ -49,6 +49,15 @@
   CHECK(step.delay == kFirstStoreRetry);
 }
 
+TEST_CASE("a host that is out of touch is asked again soon") {
+  SourceChoice reader(kNear, {kNear}, DeploymentStart::kFirst);
+  reader.OnAskedBy(kSelf, kStart);
+  for (int i = 0; i < 8; ++i) reader.OnFailure(StoreSource{}, kStart);
+  reader.OnOutOfTouch(PeerSource{kSelf}, kStart);
+  CHECK(reader.Next(kStart).delay == kOutOfTouchPassedOver);
+  CHECK(Describe(reader.Next(kStart + kOutOfTouchPassedOver)) ==
+        ToString(kSelf));
+}
 TEST_CASE("calls to a store that turns the host away become rare") {
   SourceChoice reader(kNear, {kNear}, DeploymentStart::kFirst);
   TimePoint now = kStart;
--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -14,7 +14,6 @@
 constexpr Range<Duration> kStopWaitRange{std::chrono::seconds(1),
                                          std::chrono::hours(2)};
 constexpr Range<double> kRetryShareRange{0, 1};
-constexpr Range<double> kRetryReserveRange{0, 1e6};
 
 void ReadZones(MappingReader* reader, TrafficHostSettings* settings) {
   const std::optional<YAML::Node> zones = reader->Mapping("zones", kRequired);
@@ -79,8 +78,6 @@
                   &settings.stop_wait);
   AssignIfPresent(reader.Number("retry_share", kOptional, kRetryShareRange),
                   &settings.retry_share);
-  AssignIfPresent(reader.Number("retry_reserve", kOptional, kRetryReserveRange),
-                  &settings.retry_reserve);
   reader.Finish();
   if (!context.findings.empty()) return std::move(context.findings);
   return settings;
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -34,10 +34,8 @@
   std::map<ZoneName, RegionName> zones;
   // Until the process is killed after it was asked to stop.
   Duration stop_wait = std::chrono::seconds(6);
-  // Share of requests that may be sent once more, and how many more all hosts
-  // together may send.
+  // Share of requests that may be sent once more.
   double retry_share = 0.2;
-  double retry_reserve = 64;
 };
 
 // @param yaml  the text of the file
--- a/heatherlatch/traffic/plain_server.cc
+++ b/heatherlatch/traffic/plain_server.cc
@@ -69,8 +69,9 @@
   error_code error;
   const auto address = asio::ip::make_address(endpoint.address, error);
   if (!error) acceptor.open(asio::ip::tcp::v4(), error);
-  if (!error)
+  if (!error) {
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
   if (!error) acceptor.bind({address, endpoint.port}, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) return Fail(ListenError{endpoint, error.message()});
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -29,8 +29,6 @@
 // together. Source: a sixth of the shortest bound on following a change.
 constexpr Duration kTakeTogether = milliseconds(400);
 
-// A source whose knowledge was confirmed longer ago counts as out of touch.
-constexpr Duration kMaxAge = milliseconds(2200);
 // The age that is told while the store is lost.
 constexpr Duration kLostAge = std::chrono::hours(1);
 
@@ -142,7 +140,7 @@
     return;
   }
   // The first call over a new path does not wait, so that it confirms at once.
-  const bool confirmed = Age(SteadyClock::now()) < kMaxAge;
+  const bool confirmed = Age(SteadyClock::now()) < kLongestAge;
   const milliseconds wait = !confirmed           ? milliseconds(0)
                             : choice_.IsReader() ? kReaderWait
                                                  : kOwnWait;
@@ -239,8 +237,9 @@
     return {};
   }
   // Pages are no snapshot: changes since the first page are read again.
-  if (listed_.items.empty())
+  if (listed_.items.empty()) {
     listed_ = ToFeedPage({{}, false, page.revision}, true);
+  }
   listed_.items.insert(listed_.items.end(), page.items.begin(),
                        page.items.end());
   if (page.has_more && !page.items.empty()) {
@@ -264,9 +263,9 @@
   if (answer.store_was_away) away_until_ = now + kListedAgainWithin;
   const bool has_news = !answer.page.items.empty();
   Merge(answer.page);
-  if (answer.age > kMaxAge || answer.hops > kMaxHops) {
+  if (!IsInTouch(answer)) {
     followed_.reset();
-    OnFailure("it is out of touch with the store", false);
+    OnOutOfTouch();
     return {};
   }
   // What another host knows is enough to ask the store for later changes.
@@ -292,15 +291,23 @@
 }
 
 void PublishedFeed::OnFailure(const std::string& problem, bool slow) {
-  const TimePoint now = SteadyClock::now();
-  const std::string source = Describe(source_);
-  choice_.OnFailure(source_, now);
-  context_->metrics.Count("store_calls", "failed");
+  choice_.OnFailure(source_, SteadyClock::now());
   if (connection_) connection_->Cancel();
   connection_ = nullptr;
+  EndFailed(problem, slow);
+}
+
+void PublishedFeed::OnOutOfTouch() {
+  choice_.OnOutOfTouch(source_, SteadyClock::now());
+  EndFailed("it is out of touch with the store", false);
+}
+
+void PublishedFeed::EndFailed(const std::string& problem, bool slow) {
+  context_->metrics.Count("store_calls", "failed");
   if (!knows_list_) listed_ = {};
   ++failures_;
-  if (slow || failures_ > 1) Lose(source, problem);
+  const bool counts = slow || failures_ > 1;
+  if (counts && choice_.IsTurnedAway()) Lose(Describe(source_), problem);
   Ask();
 }
 
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -66,6 +66,8 @@
   Result<void> OnPeerAnswer(const std::string& body);
   void OnHistoryGone();
   void OnFailure(const std::string& problem, bool slow);
+  void OnOutOfTouch();
+  void EndFailed(const std::string& problem, bool slow);
   void Lose(const std::string& source, const std::string& problem);
   void Regain(TimePoint now);
   void Succeed(TimePoint confirmed_at, Duration next);
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -13,9 +13,10 @@
 // The part of the deployment's retry share that hosts use; the rest is room for
 // windows that differ between hosts.
 constexpr double kUsedRetryShare = 0.8;
-// Hosts that the deployment's retry reserve is divided among: no host knows how
-// many there are. Source: twice the hosts of a deployment of today.
-constexpr double kHostsSharingReserve = 40;
+// Retries that a host may send before its requests earn any. Source: the users'
+// deployments have a larger reserve than hosts, and no host knows how many
+// there are.
+constexpr double kRetryReserve = 1;
 
 }  // namespace
 
@@ -31,7 +32,7 @@
 RetryBudget& TrafficContext::Retries(const ServiceName& service) {
   return retries_
       .try_emplace(service, settings.retry_share * kUsedRetryShare,
-                   std::max(1.0, settings.retry_reserve / kHostsSharingReserve))
+                   kRetryReserve)
       .first->second;
 }
 
