Refuse a request at once where no server can be connected to, and pause after a failed accept

Cause, found while reading: a request whose servers refuse connections asked and sent again without an end until its time was over; an accept that fails for want of descriptors was repeated at once. Four sends without a connection refuse the request, which has not run; accepts pause until the next upkeep. The way to the caller and the time until servers are listed again are each one constant now.

--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -75,12 +75,13 @@
   void SetReaders(const std::vector<Endpoint>& readers);
 
   // @return whether this host asks the store before any other host
-  bool IsReader() const { return is_reader_; }  Step Next(TimePoint now);
+  bool IsReader() const { return is_reader_; }
+  Step Next(TimePoint now);
 
   // @return whether the store turned this host away when it was asked last; a
   //     host that only readers failed may still reach the store
   bool IsTurnedAway() const { return store_failures_ > 0; }
-void OnAnswer(
+  void OnAnswer(
       const Source& source, Duration round_trip,
       TimePoint now);  // The source did not answer, or turned the host away.
   void OnFailure(const Source& source, TimePoint now);
--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -7,10 +7,6 @@
 // Source: the users' prices for traffic between regions.
 constexpr double kMostBytesBetweenRegions = 20'000;
 
-// The way to the caller and back, which the latency target counts too.
-// Source: the users' sheets, 8 ms one way.
-constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(16);
-
 // A free server is taken at once where it misses what is left of the target by
 // less than this factor: its answer is a draw, and a better one is not sure.
 // Source: the spread of work on the users' sheets.
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -54,6 +54,10 @@
 };
 
 Occupancy OccupancyWith(const Candidate& candidate);
+// The way to the caller and back, which the latency target counts too.
+// Source: the users' sheets, 8 ms one way.
+inline constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(16);
+
 // A server of unknown load is taken to be as slow as a disturbed one.
 // Source: neighbours slow the users' workers seven times.
 inline constexpr double kUnknownSlowness = 7;
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -21,9 +21,6 @@
 constexpr Duration kAskLimitInRegion = std::chrono::milliseconds(25);
 constexpr Duration kAskLimitBetweenRegions = std::chrono::milliseconds(95);
 
-// Kept for the way back to the caller. Source: twice the way on the sheets.
-constexpr Duration kWayToCaller = std::chrono::milliseconds(16);
-
 // The wait of a caller that names none, where its route has no timeout.
 constexpr Duration kDefaultWait = std::chrono::seconds(30);
 
@@ -32,6 +29,10 @@
 constexpr double kLateFactor = 1.6;
 constexpr Duration kLateMargin = std::chrono::milliseconds(15);
 
+// Servers that cannot be connected to before a request is refused.
+// Source: more than the servers of a rack that are lost at a time.
+constexpr int kMaxNotSent = 4;
+
 enum Status : unsigned {
   kBadRequest = 400,
   kNotFound = 404,
@@ -85,7 +86,7 @@
 }
 
 void Exchange::ArmGiveUp() {
-  Duration wait = request_.wait.value_or(kDefaultWait) - kWayToCaller;
+  Duration wait = request_.wait.value_or(kDefaultWait) - kCallerRoundTrip;
   if (route_->timeout) wait = std::min(wait, *route_->timeout);
   give_up_at_ = request_.read_at + wait;
   give_up_timer_.expires_at(give_up_at_);
@@ -262,7 +263,7 @@
 void Exchange::PlaceSecond(const std::optional<Choice>& choice) {
   const bool in_time =
       choice && choice->vacancy == Vacancy::kFree &&
-      Waited() + choice->expected + kWayToCaller <= route_->latency_target;
+      Waited() + choice->expected + kCallerRoundTrip <= route_->latency_target;
   if (!in_time || attempts_.empty()) return;
   if (!context_->Retries(service_).TryRetry()) return;
   context_->metrics.Count("sends", "second");
@@ -353,7 +354,14 @@
                                    {"problem", result.problem}});
   context_->metrics.Count("attempts", "not-sent");
   --sends_;
-  if (attempts_.empty()) Ask(Purpose::kAnswer);
+  if (!attempts_.empty()) return;
+  if (++not_sent_ < kMaxNotSent) {
+    Ask(Purpose::kAnswer);
+  } else if (may_have_run_) {
+    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+  } else {
+    RefuseNotRun(NotRunReason::kConnectFailed, kRetryAfter);
+  }
 }
 
 void Exchange::OnNoAnswer(const AttemptPtr& attempt,
@@ -491,16 +499,15 @@
   const Duration total = Waited();
   context_->metrics.Count("requests", outcome);
   context_->metrics.request_time.Observe(total);
-  context_->log.Write(
-      "ended",
-      {{"request", request_.request_id},
-       {"route", route_ == nullptr ? std::string_view()
-                                   : std::string_view(route_->name.str())},
-       {"outcome", outcome},
-       {"reason", reason},
-       {"status", static_cast<double>(answer.status)},
-       {"sends", static_cast<double>(sends_)},
-       {"total_ms", ToMilliseconds(total)}});
+  const std::string_view route_name =
+      route_ == nullptr ? "" : route_->name.str().c_str();
+  context_->log.Write("ended", {{"request", request_.request_id},
+                                {"route", route_name},
+                                {"outcome", outcome},
+                                {"reason", reason},
+                                {"status", static_cast<double>(answer.status)},
+                                {"sends", static_cast<double>(sends_)},
+                                {"total_ms", ToMilliseconds(total)}});
   const Done done = std::move(done_);
   if (done) done(std::move(answer));
 }
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -129,7 +129,8 @@
   std::vector<AttemptPtr> attempts_;  // Under way.
   std::set<BackendServerName> used_;
   int sends_ = 0;
-  int waits_ = 0;  // Rounds of questions after which it was not sent.
+  int not_sent_ = 0;  // Sends that found no connection.
+  int waits_ = 0;     // Rounds of questions after which it was not sent.
   bool may_have_run_ = false;
   bool finished_ = false;
 };
--- a/heatherlatch/traffic/plain_server.cc
+++ b/heatherlatch/traffic/plain_server.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/plain_server.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -16,6 +17,10 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+// After a connection that could not be accepted. Source: a tenth of the
+// balancer's interval.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
 class PlainSession : public std::enable_shared_from_this<PlainSession> {
  public:
   PlainSession(asio::ip::tcp::socket socket,
@@ -79,7 +84,9 @@
 }
 
 PlainServer::PlainServer(asio::ip::tcp::acceptor acceptor, Handler handler)
-    : acceptor_(std::move(acceptor)), handler_(std::move(handler)) {}
+    : acceptor_(std::move(acceptor)),
+      timer_(acceptor_.get_executor()),
+      handler_(std::move(handler)) {}
 
 void PlainServer::Start() { Accept(); }
 
@@ -87,12 +94,21 @@
   acceptor_.async_accept(
       [this](const error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
-        // Without a descriptor to spare the connection is left to time out.
-        if (!error) {
-          std::make_shared<PlainSession>(std::move(socket), &handler_)->Read();
+        if (error) {
+          Pause();
+          return;
         }
+        std::make_shared<PlainSession>(std::move(socket), &handler_)->Read();
         Accept();
       });
 }
 
+void PlainServer::Pause() {
+  // Without a descriptor to spare, connections are left to wait.
+  timer_.expires_after(kAcceptPause);
+  timer_.async_wait([this](const error_code& error) {
+    if (!error) Accept();
+  });
+}
+
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/plain_server.h
+++ b/heatherlatch/traffic/plain_server.h
@@ -5,6 +5,7 @@
 #define HEATHERLATCH_TRAFFIC_PLAIN_SERVER_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 
@@ -42,8 +43,10 @@
 
  private:
   void Accept();
+  void Pause();
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
   Handler handler_;
 };
 
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -32,10 +32,6 @@
 // The age that is told while the store is lost.
 constexpr Duration kLostAge = std::chrono::hours(1);
 
-// How long servers take to be listed again after the store was away.
-// Source: the platform's "about two seconds".
-constexpr Duration kListedAgainWithin = milliseconds(2200);
-
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr char kFeedPath[] = "/published";
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -26,6 +26,10 @@
 
 namespace heatherlatch {
 
+// How long servers may take to be listed again after the store was away.
+// Source: the platform's "about two seconds".
+inline constexpr Duration kListedAgainWithin = std::chrono::milliseconds(2200);
+
 class PublishedFeed {
  public:
   // Receives the items that changed, in the order of their changes.
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -31,10 +31,6 @@
 
 // How long a server is remembered that is not seen again.
 constexpr Duration kServerMemory = std::chrono::minutes(5);
-// A server that is missing after the store was away may be listed again within
-// this time. Source: the platform's "about two seconds".
-constexpr Duration kMissingGrace = std::chrono::milliseconds(2200);
-
 constexpr unsigned kOk = 200;
 constexpr unsigned kServiceUnavailable = 503;
 
@@ -112,12 +108,13 @@
         if (error == asio::error::operation_aborted) return;
         if (error) {
           context_.log.Write("accept-failed", {{"problem", error.message()}});
-        } else {
-          auto caller = std::make_shared<CallerConnection>(std::move(socket),
-                                                           &context_, &asker_);
-          callers_.push_back(caller);
-          caller->Start();
+          accept_failed_ = true;  // The next upkeep accepts again.
+          return;
         }
+        auto caller = std::make_shared<CallerConnection>(std::move(socket),
+                                                         &context_, &asker_);
+        callers_.push_back(caller);
+        caller->Start();
         Accept();
       });
 }
@@ -156,6 +153,10 @@
     if (caller) caller->CheckTimes(now);
     it = caller && caller->IsOpen() ? std::next(it) : callers_.erase(it);
   }
+  if (accept_failed_ && acceptor_->is_open()) {
+    accept_failed_ = false;
+    Accept();
+  }
   AdvanceStop(now);
   context_.log.Flush();
 }
@@ -204,7 +205,7 @@
     const bool may_return = feed_.StoreWasAway(now);
     if (may_return) {
       context_.directory.MarkMissing(BackendServerName(name),
-                                     now + kMissingGrace);
+                                     now + kListedAgainWithin);
     } else {
       context_.directory.Remove(BackendServerName(name));
     }
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -71,6 +71,7 @@
   boost::asio::steady_timer tick_timer_;
   std::list<std::weak_ptr<CallerConnection>> callers_;
   std::optional<TimePoint> stop_began_;
+  bool accept_failed_ = false;
   int ticks_ = 0;
   Duration suspended_{};  // Total time that the steady clock stood still.
 };
--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -41,6 +41,7 @@
       {"queue-full", "no server that it may use had room in time"},
       {"no-server", "the host knew no server that it may use"},
       {"deadline-too-short", "no server could answer in the time left"},
+      {"connect-failed", "the servers that it chose could not be connected to"},
       {"shed-by-server", "the servers that it was sent to refused it"},
       {"no-route", "the configuration of the host has no route for it"},
       {"configuration-unavailable", "the host knew no configuration yet"},
