--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -37,7 +37,7 @@
 
 std::string RefusedCause(const std::string& reason, const Json& ended) {
   const std::string waited = Number(ended, "total_ms") + " ms";
-  static const std::map<std::string, std::string> kCauses = {
+  static const std::map<std::string, std::string> causes = {
       {"queue-full", "no server that it may use had room in time"},
       {"no-server", "the host knew no server that it may use"},
       {"deadline-too-short", "no server could answer in the time left"},
@@ -46,8 +46,8 @@
       {"no-route", "the configuration of the host has no route for it"},
       {"configuration-unavailable", "the host knew no configuration yet"},
   };
-  const auto found = kCauses.find(reason);
-  const std::string cause = found == kCauses.end() ? reason : found->second;
+  const auto found = causes.find(reason);
+  const std::string cause = found == causes.end() ? reason : found->second;
   return "Refused after " + waited + ", not run: " + cause + ".";
 }
 
@@ -85,7 +85,7 @@
 
 std::vector<LogLine> FindContext(const std::vector<LogLine>& request_lines,
                                  const std::vector<LogLine>& lines) {
-  static const std::set<std::string> kChanges = {
+  static const std::set<std::string> changes = {
       "configuration",  "server-draining",     "server-gone",
       "server-missing", "zone-out-of-service", "zone-in-service",
       "store-lost",     "store-regained",      "started"};
@@ -102,7 +102,7 @@
   for (const LogLine& line : lines) {
     if (line.at_ms < from || line.at_ms > until) continue;
     if (sources.count(line.source) == 0) continue;
-    if (kChanges.count(Text(line.fields, "event")) == 0) continue;
+    if (changes.count(Text(line.fields, "event")) == 0) continue;
     const std::string server = Text(line.fields, "server");
     if (server.empty() || servers.count(server) > 0) context.push_back(line);
   }
