--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -178,7 +178,9 @@
       [self = shared_from_this(), due](CallerAnswer answer) {
         self->OnAnswer(due, std::move(answer));
       });
-  due->exchange->Start();
+  // The answer may come at once and end the exchange.
+  const std::shared_ptr<Exchange> exchange = due->exchange;
+  exchange->Start();
 }
 
 void CallerConnection::OnAnswer(const std::shared_ptr<Due>& due,
