--- a/benchmarks/experiment/central_policy.h
+++ b/benchmarks/experiment/central_policy.h
@@ -8,9 +8,9 @@
 #include <map>
 #include <vector>
 
-#include "benchmarks/experiment/event_loop.h"
 #include "benchmarks/experiment/fleet.h"
 #include "benchmarks/experiment/work.h"
+#include "heatherlatch/testing/event_loop.h"
 
 namespace heatherlatch::experiment {
 
--- a/benchmarks/experiment/fleet.h
+++ b/benchmarks/experiment/fleet.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "benchmarks/experiment/event_loop.h"
 #include "heatherlatch/placement/group_scheduler.h"
+#include "heatherlatch/testing/event_loop.h"
 
 namespace heatherlatch::experiment {
 
--- a/benchmarks/experiment/owner_policy.h
+++ b/benchmarks/experiment/owner_policy.h
@@ -10,13 +10,13 @@
 #include <random>
 #include <vector>
 
-#include "benchmarks/experiment/event_loop.h"
 #include "benchmarks/experiment/fleet.h"
 #include "benchmarks/experiment/owner_process.h"
 #include "benchmarks/experiment/work.h"
 #include "heatherlatch/base/host_incarnation.h"
 #include "heatherlatch/placement/group_choice.h"
 #include "heatherlatch/placement/group_scheduler.h"
+#include "heatherlatch/testing/event_loop.h"
 
 namespace heatherlatch::experiment {
 
--- a/benchmarks/experiment/owner_process.h
+++ b/benchmarks/experiment/owner_process.h
@@ -8,8 +8,8 @@
 #include <map>
 #include <vector>
 
-#include "benchmarks/experiment/event_loop.h"
 #include "heatherlatch/placement/group_scheduler.h"
+#include "heatherlatch/testing/event_loop.h"
 
 namespace heatherlatch::experiment {
 
--- a/benchmarks/experiment/scenario.cc
+++ b/benchmarks/experiment/scenario.cc
@@ -7,8 +7,8 @@
 #include <random>
 #include <utility>
 
-#include "benchmarks/experiment/event_loop.h"
 #include "benchmarks/experiment/policies.h"
+#include "heatherlatch/testing/event_loop.h"
 
 namespace heatherlatch::experiment {
 namespace {
@@ -39,11 +39,6 @@
 constexpr double kBaseServiceMs =
     kMeanServiceMs / (1 - kLongShare + kLongShare * kLongFactor);
 
-Duration FromMilliseconds(double time) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(time));
-}
-
 double Quantile(std::vector<double>* values, double q) {
   if (values->empty()) return 0;
   const auto rank =
--- a/heatherlatch/base/time.h
+++ b/heatherlatch/base/time.h
@@ -20,6 +20,17 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+// Returns a number of milliseconds, with its fraction, as a duration.
+constexpr Duration FromMilliseconds(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+// Returns `duration` times `factor`.
+constexpr Duration Scale(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 }  // namespace heatherlatch
 
 #endif  // HEATHERLATCH_BASE_TIME_H_
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -4,24 +4,17 @@
 
 #include <catch2/catch.hpp>
 
+#include "heatherlatch/testing/value_of.h"
+
 namespace heatherlatch {
 namespace {
 
 using std::chrono::milliseconds;
-
-template <typename T>
-std::optional<T> Read(Result<T> result) {
-  return boost::leaf::try_handle_all(
-      [&]() -> Result<std::optional<T>> {
-        BOOST_LEAF_AUTO(value, std::move(result));
-        return std::make_optional(value);
-      },
-      [] { return std::optional<T>(); });
-}
+using testing::ValueOf;
 
 TEST_CASE("a question and an answer are read as they were written") {
   const FeedQuestion question{{"10.0.0.1", 8544}, 77, milliseconds(600)};
-  const auto read = Read(DecodeFeedQuestion(Encode(question)));
+  const auto read = ValueOf(DecodeFeedQuestion(Encode(question)));
   REQUIRE(read);
   CHECK(read->asker == question.asker);
   CHECK(read->after == 77);
@@ -35,7 +28,7 @@
   answer.age = milliseconds(120);
   answer.hops = 1;
   answer.store_was_away = true;
-  const auto back = Read(DecodeFeedAnswer(Encode(answer)));
+  const auto back = ValueOf(DecodeFeedAnswer(Encode(answer)));
   REQUIRE(back);
   CHECK(back->page.is_whole);
   CHECK(back->page.revision == 90);
@@ -51,12 +44,12 @@
   CHECK(rc::check("any bytes are read or refused", [] {
     const auto bytes =
         *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
-    Read(DecodeFeedQuestion(bytes));
-    Read(DecodeFeedAnswer(bytes));
+    ValueOf(DecodeFeedQuestion(bytes));
+    ValueOf(DecodeFeedAnswer(bytes));
   }));
   const std::string whole = Encode(FeedAnswer{});
-  CHECK_FALSE(Read(DecodeFeedAnswer(whole.substr(0, whole.size() - 1))));
-  CHECK_FALSE(Read(DecodeFeedQuestion(whole)));
+  CHECK_FALSE(ValueOf(DecodeFeedAnswer(whole.substr(0, whole.size() - 1))));
+  CHECK_FALSE(ValueOf(DecodeFeedQuestion(whole)));
 }
 
 }  // namespace
--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -29,26 +29,6 @@
   }
 }
 
-void ReadSeeds(MappingReader* reader, TrafficHostSettings* settings) {
-  const auto seeds = reader->TextList("seeds", kOptional);
-  if (!seeds) return;
-  for (const std::string& seed : *seeds) {
-    boost::leaf::try_handle_all(
-        [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(endpoint, ParseEndpoint(seed));
-          settings->seeds.push_back(endpoint);
-          return {};
-        },
-        [&](const EndpointError& error) {
-          reader->Report(FindingKind::kWrongType, "seeds", ToString(error));
-        },
-        [&] {
-          reader->Report(FindingKind::kWrongType, "seeds",
-                         "\"" + seed + "\" is not an endpoint");
-        });
-  }
-}
-
 }  // namespace
 
 std::variant<TrafficHostSettings, std::vector<Finding>> ReadTrafficHostSettings(
@@ -72,7 +52,7 @@
   AssignIfPresent(reader.Address("platform", kRequired), &settings.platform);
   AssignIfPresent(reader.Boolean("first_start", kOptional),
                   &settings.first_start);
-  ReadSeeds(&reader, &settings);
+  AssignIfPresent(reader.AddressList("seeds", kOptional), &settings.seeds);
   ReadZones(&reader, &settings);
   AssignIfPresent(reader.Time("stop_wait", kOptional, kStopWaitRange),
                   &settings.stop_wait);
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -1,8 +1,7 @@
 // The settings of one traffic host, read from a YAML file.
 //
 // The file is checked whole, with the same kind of findings as a set of objects
-// (objects/check.h). docs/TRAFFIC-HOST.md lists every
-// field.
+// (objects/check.h). docs/TRAFFIC-HOST.md lists every field.
 //
 // Thread safety: value types and pure functions.
 #ifndef HEATHERLATCH_SETTINGS_TRAFFIC_HOST_SETTINGS_H_
--- a/heatherlatch/steering/burst_test.cc
+++ b/heatherlatch/steering/burst_test.cc
@@ -6,6 +6,7 @@
 #include <queue>
 
 #include "heatherlatch/steering/patience.h"
+#include "heatherlatch/testing/event_loop.h"
 
 namespace heatherlatch {
 namespace {
@@ -14,7 +15,7 @@
 
 constexpr std::uint64_t kFirstSeed = 20261204;
 constexpr std::uint64_t kSeeds = 5;
-constexpr TimePoint kStart{};
+const TimePoint kStart = EventLoop().Now();
 
 // A region of servers of one service, as on the sheet of the users' kiosks.
 constexpr int kServers = 7;
@@ -59,54 +60,40 @@
   Outcomes Play(const Load& load) {
     ScheduleArrival(kStart, load);
     ScheduleSpell(kStart);
-    while (!events_.empty() && events_.top().at < kStart + kLength + kBudget) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
-    }
+    loop_.RunUntil(kStart + kLength + kBudget);
     return outcomes_;
   }
 
  private:
-  struct Event {
-    TimePoint at;
-    std::function<void()> run;
-    bool operator<(const Event& other) const { return at > other.at; }
-  };
   struct Server {
     int running = 0;
     std::queue<TimePoint> waiting;  // Arrivals of the requests.
     double slowness = 1;
   };
 
-  void At(TimePoint at, std::function<void()> run) {
-    events_.push({at, std::move(run)});
-  }
-
   void ScheduleArrival(TimePoint at, const Load& load) {
     if (at >= kStart + kLength) return;
-    At(at, [this, load] {
+    loop_.At(at, [this, load] {
       ++outcomes_.asked;
-      Place(now_);
-      const Duration since = now_ - kStart;
+      Place(loop_.Now());
+      const Duration since = loop_.Now() - kStart;
       const bool burst = since > kLength / 3 && since < kLength * 2 / 3;
       const double rate = load.per_second * (burst ? load.burst_factor : 1);
       const double gap = std::exponential_distribution<double>(rate)(rng_);
-      ScheduleArrival(now_ + std::chrono::duration_cast<Duration>(
-                                 std::chrono::duration<double>(gap)),
+      ScheduleArrival(loop_.Now() + std::chrono::duration_cast<Duration>(
+                                        std::chrono::duration<double>(gap)),
                       load);
     });
   }
 
   void ScheduleSpell(TimePoint at) {
     if (at >= kStart + kLength) return;
-    At(at, [this] {
+    loop_.At(at, [this] {
       for (Server& server : servers_) {
         const bool slow = std::bernoulli_distribution(kSlowShare)(rng_);
         server.slowness = slow ? kSlowFactor : 1;
       }
-      ScheduleSpell(now_ + kSpell);
+      ScheduleSpell(loop_.Now() + kSpell);
     });
   }
 
@@ -122,11 +109,12 @@
     }
     const ExpectedWork work{milliseconds(220), 400, kTarget, 1};
     const auto choice = ChooseServer(candidates, work);
-    const PlacementState state{now_ - arrival, kTarget,
-                               kBudget - (now_ - arrival), milliseconds(220)};
+    const PlacementState state{loop_.Now() - arrival, kTarget,
+                               kBudget - (loop_.Now() - arrival),
+                               milliseconds(220)};
     const PatienceVerdict verdict = policy_(choice, state);
     if (const auto* again = std::get_if<AskAgain>(&verdict)) {
-      At(now_ + again->after, [this, arrival] { Place(arrival); });
+      loop_.After(again->after, [this, arrival] { Place(arrival); });
     } else if (std::holds_alternative<SendNow>(verdict)) {
       Arrive(&servers_[choice->index], arrival);
     } else {
@@ -149,15 +137,13 @@
     const double sigma = kSpread;
     std::lognormal_distribution<double> work(
         std::log(kWorkMs) - sigma * sigma / 2, sigma);
-    const Duration time = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(work(rng_) *
-                                                  server->slowness));
-    At(now_ + time, [this, server, arrival] { End(server, arrival); });
+    const Duration time = FromMilliseconds(work(rng_) * server->slowness);
+    loop_.After(time, [this, server, arrival] { End(server, arrival); });
   }
 
   void End(Server* server, TimePoint arrival) {
     --server->running;
-    const Duration total = now_ - arrival + milliseconds(16);
+    const Duration total = loop_.Now() - arrival + milliseconds(16);
     if (total <= kTarget) ++outcomes_.in_target;
     if (total <= kBudget) ++outcomes_.served;
     if (server->waiting.empty()) return;
@@ -169,8 +155,7 @@
   Policy policy_;
   std::mt19937_64 rng_;
   std::vector<Server> servers_{kServers};
-  std::priority_queue<Event> events_;
-  TimePoint now_ = kStart;
+  EventLoop loop_;
   Outcomes outcomes_;
 };
 
--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -41,7 +41,7 @@
   }
   const Duration target_left = TargetLeft(state);
   if (choice->expected <= target_left) return SendNow{};
-  const bool is_free = choice->vacancy == Vacancy::kFree;
+  const bool is_free = choice->occupancy != Occupancy::kWaiting;
   if (is_free && choice->expected < kNearMiss * target_left) return SendNow{};
   if (MayStillMeetTarget(state)) return AskAgain{kAskAgainInterval};
   const bool has_room =
--- a/heatherlatch/steering/patience_test.cc
+++ b/heatherlatch/steering/patience_test.cc
@@ -12,8 +12,8 @@
           milliseconds(time_left_ms), milliseconds(120)};
 }
 
-Choice MakeChoice(int expected_ms, Vacancy vacancy) {
-  return {0, milliseconds(expected_ms), vacancy};
+Choice MakeChoice(int expected_ms, Occupancy occupancy) {
+  return {0, milliseconds(expected_ms), occupancy};
 }
 
 std::string Describe(const PatienceVerdict& verdict) {
@@ -23,55 +23,55 @@
 
 TEST_CASE("a request is refused where no server can answer in its time") {
   CHECK(Describe(Decide(std::nullopt, State(0, 3000))) == "refuse");
-  const Choice late = MakeChoice(1000, Vacancy::kFree);
+  const Choice late = MakeChoice(1000, Occupancy::kRoomy);
   CHECK(Describe(Decide(late, State(0, 1000))) == "refuse");
   CHECK(Describe(Decide(late, State(0, 1001))) != "refuse");
 }
 
 TEST_CASE("a request that meets its target is sent, also into a queue") {
-  CHECK(Describe(Decide(MakeChoice(284, Vacancy::kFull), State(0, 3000))) ==
-        "send");
-  CHECK(Describe(Decide(MakeChoice(120, Vacancy::kFree), State(100, 3000))) ==
-        "send");
+  CHECK(Describe(Decide(MakeChoice(284, Occupancy::kWaiting),
+                        State(0, 3000))) == "send");
+  CHECK(Describe(Decide(MakeChoice(120, Occupancy::kRoomy),
+                        State(100, 3000))) == "send");
 }
 
 TEST_CASE(
     "a request that may still meet its target waits for a better server") {
-  CHECK(Describe(Decide(MakeChoice(400, Vacancy::kFull), State(0, 3000))) ==
+  CHECK(Describe(Decide(MakeChoice(400, Occupancy::kWaiting),
+                        State(0, 3000))) == "ask");
+  CHECK(Describe(Decide(MakeChoice(900, Occupancy::kRoomy), State(0, 3000))) ==
         "ask");
-  CHECK(Describe(Decide(MakeChoice(900, Vacancy::kFree), State(0, 3000))) ==
-        "ask");
-  CHECK(Describe(Decide(MakeChoice(400, Vacancy::kFree), State(0, 3000))) ==
+  CHECK(Describe(Decide(MakeChoice(400, Occupancy::kRoomy), State(0, 3000))) ==
         "send");
 }
 
 TEST_CASE("a late request takes a server with room, and none of the others") {
-  CHECK(Describe(Decide(MakeChoice(200, Vacancy::kFree), State(250, 2750))) ==
-        "send");
-  CHECK(Describe(Decide(MakeChoice(900, Vacancy::kFree), State(250, 2750))) ==
-        "ask");
-  CHECK(Describe(Decide(MakeChoice(200, Vacancy::kFull), State(250, 2750))) ==
-        "ask");
+  CHECK(Describe(Decide(MakeChoice(200, Occupancy::kRoomy),
+                        State(250, 2750))) == "send");
+  CHECK(Describe(Decide(MakeChoice(900, Occupancy::kRoomy),
+                        State(250, 2750))) == "ask");
+  CHECK(Describe(Decide(MakeChoice(200, Occupancy::kWaiting),
+                        State(250, 2750))) == "ask");
 }
 
 TEST_CASE("a late request is sent to a free slot or refused in the end") {
-  CHECK(Describe(Decide(MakeChoice(900, Vacancy::kFree), State(600, 2400))) ==
-        "send");
-  CHECK(Describe(Decide(MakeChoice(400, Vacancy::kFull), State(600, 2400))) ==
-        "refuse");
-  CHECK(Describe(Decide(MakeChoice(400, Vacancy::kFull), State(250, 470))) ==
-        "refuse");
+  CHECK(Describe(Decide(MakeChoice(900, Occupancy::kRoomy),
+                        State(600, 2400))) == "send");
+  CHECK(Describe(Decide(MakeChoice(400, Occupancy::kWaiting),
+                        State(600, 2400))) == "refuse");
+  CHECK(Describe(Decide(MakeChoice(400, Occupancy::kWaiting),
+                        State(250, 470))) == "refuse");
 }
 
 TEST_CASE("servers of other regions are asked where they meet the target") {
   const ExpectedWork small{milliseconds(120), 400, milliseconds(300), 1};
   const ExpectedWork download{milliseconds(96), 90'000, milliseconds(500), 1};
-  const Choice late = MakeChoice(400, Vacancy::kFull);
+  const Choice late = MakeChoice(400, Occupancy::kWaiting);
   CHECK(ShouldAskFarther(std::nullopt, State(0, 3000), download));
   CHECK(ShouldAskFarther(late, State(0, 3000), small));
   CHECK_FALSE(ShouldAskFarther(late, State(0, 3000), download));
-  CHECK_FALSE(
-      ShouldAskFarther(MakeChoice(290, Vacancy::kFree), State(0, 3000), small));
+  CHECK_FALSE(ShouldAskFarther(MakeChoice(290, Occupancy::kRoomy),
+                               State(0, 3000), small));
   // Too late for the way there and back.
   CHECK_FALSE(ShouldAskFarther(late, State(100, 2900), small));
 }
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -6,10 +6,6 @@
 namespace heatherlatch {
 namespace {
 
-Duration Scale(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 int Outstanding(const Candidate& candidate) {
   const int reported = candidate.reading ? candidate.reading->running +
                                                candidate.reading->waiting
@@ -115,9 +111,7 @@
                                          ExpectedCost(candidate, work));
     if (best && best_rank <= rank) continue;
     best_rank = rank;
-    const bool full = Outstanding(candidate) >= Slots(candidate);
-    best = Choice{i, ExpectedTime(candidate, work),
-                  full ? Vacancy::kFull : Vacancy::kFree};
+    best = Choice{i, ExpectedTime(candidate, work), OccupancyWith(candidate)};
   }
   return best;
 }
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -98,15 +98,10 @@
 std::vector<Candidate> DrawCandidates(std::vector<Candidate> all,
                                       std::size_t count, std::mt19937_64* rng);
 
-enum class Vacancy {
-  kFree,  // A slot is free.
-  kFull,  // All slots are taken; a request sent now waits at the server.
-};
-
 struct Choice {
   std::size_t index = 0;  // Of the candidates.
   Duration expected{};
-  Vacancy vacancy = Vacancy::kFree;
+  Occupancy occupancy = Occupancy::kRoomy;
 };
 
 // @return the candidate with the lowest cost; those that failed lately or did
--- a/heatherlatch/steering/steering_test.cc
+++ b/heatherlatch/steering/steering_test.cc
@@ -44,7 +44,7 @@
   CHECK(Chosen(candidates, SmallWork()) == "free");
   const auto choice = ChooseServer({candidates[0]}, SmallWork());
   REQUIRE(choice);
-  CHECK(choice->vacancy == Vacancy::kFull);
+  CHECK(choice->occupancy == Occupancy::kWaiting);
 }
 
 TEST_CASE("a download stays in its zone where a small request would leave") {
--- a/benchmarks/experiment/event_loop.h
+++ b/heatherlatch/testing/event_loop.h
@@ -1,8 +1,8 @@
 // Virtual time: runs actions in the order of their times.
 //
 // Thread safety: none.
-#ifndef HEATHERLATCH_BENCHMARKS_EXPERIMENT_EVENT_LOOP_H_
-#define HEATHERLATCH_BENCHMARKS_EXPERIMENT_EVENT_LOOP_H_
+#ifndef HEATHERLATCH_TESTING_EVENT_LOOP_H_
+#define HEATHERLATCH_TESTING_EVENT_LOOP_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,7 +12,7 @@
 
 #include "heatherlatch/base/time.h"
 
-namespace heatherlatch::experiment {
+namespace heatherlatch {
 
 class EventLoop {
  public:
@@ -55,6 +55,6 @@
   std::priority_queue<Event> events_;
 };
 
-}  // namespace heatherlatch::experiment
+}  // namespace heatherlatch
 
-#endif  // HEATHERLATCH_BENCHMARKS_EXPERIMENT_EVENT_LOOP_H_
+#endif  // HEATHERLATCH_TESTING_EVENT_LOOP_H_
--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "heatherlatch/traffic/client_connection.h"
+#include "heatherlatch/traffic/http_status.h"
 #include "platform/caller_fields.h"
 
 namespace heatherlatch {
@@ -23,11 +24,6 @@
 // How long a caller may take to close its side after its last answer.
 constexpr Duration kLingerLimit = std::chrono::seconds(1);
 
-constexpr unsigned kRequestTimeout = 408;
-constexpr unsigned kPayloadTooLarge = 413;
-constexpr unsigned kHeaderTooLarge = 431;
-constexpr unsigned kBadRequest = 400;
-
 std::string_view AsView(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -51,9 +47,12 @@
   ReadSome();
 }
 
+CallerLimits CallerConnection::Limits() const {
+  return context_->routes ? context_->routes->limits : CallerLimits{};
+}
+
 void CallerConnection::NewParser() {
-  const CallerLimits limits =
-      context_->routes ? context_->routes->limits : CallerLimits{};
+  const CallerLimits limits = Limits();
   parser_ = std::make_unique<Parser>();
   parser_->eager(true);
   parser_->header_limit(limits.max_header_bytes);
@@ -260,8 +259,7 @@
 void CallerConnection::CheckTimes(TimePoint now) {
   if (!open_) return;
   const Duration quiet = now - last_activity_;
-  const CallerLimits limits =
-      context_->routes ? context_->routes->limits : CallerLimits{};
+  const CallerLimits limits = Limits();
   if (send_closed_) {
     if (quiet > kLingerLimit) Close();
     return;
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -50,6 +50,7 @@
     bool is_old_protocol = false;  // HTTP/1.0.
   };
 
+  CallerLimits Limits() const;
   void NewParser();
   void ReadSome();
   void OnRead(const boost::system::error_code& error, std::size_t size);
--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -85,10 +85,7 @@
   request_ = std::move(request);
   done_ = std::move(done);
   request_started_ = false;
-  parser_ = std::make_unique<Parser>();
-  parser_->eager(true);
-  parser_->body_limit(kMaxAnswerBytes);
-  parser_->skip(is_head);
+  NewParser(is_head);
   if (!open_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
       self->Finish(NotSent{"the connection is closed"});
@@ -98,6 +95,13 @@
   if (connected_) WriteRequest();
 }
 
+void ClientConnection::NewParser(bool is_head) {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->body_limit(kMaxAnswerBytes);
+  parser_->skip(is_head);
+}
+
 void ClientConnection::WriteRequest() {
   request_started_ = true;
   writing_ = true;
@@ -155,11 +159,7 @@
     const unsigned status =
         parser_->is_header_done() ? parser_->get().result_int() : 0;
     if (parser_->is_done() && status >= 100 && status < 200) {
-      const bool head = parser_->skip();
-      parser_ = std::make_unique<Parser>();
-      parser_->eager(true);
-      parser_->body_limit(kMaxAnswerBytes);
-      parser_->skip(head);
+      NewParser(parser_->skip());
     }
     if (used == 0) return;
   }
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -67,8 +67,6 @@
 
   // @return whether another call may be made
   bool IsReusable() const { return open_ && !done_; }
-  // @return whether a byte of the call under way may have left this host
-  bool HasSent() const { return request_started_; }
   TimePoint idle_since() const { return idle_since_; }
   // When this host gives the connection up though it is idle.
   std::optional<Duration> idle_limit;
@@ -81,6 +79,7 @@
 
   void Connect();
   void OnConnected(const boost::system::error_code& error);
+  void NewParser(bool is_head);
   void WriteRequest();
   void ReadSome();
   void OnRead(const boost::system::error_code& error, std::size_t size);
--- a/heatherlatch/traffic/decision_log.h
+++ b/heatherlatch/traffic/decision_log.h
@@ -35,8 +35,6 @@
   // Writes what the reader takes now.
   void Flush();
 
-  // @return whether lines wait
-  bool IsWaiting() const { return !waiting_.empty(); }
   std::uint64_t left_out() const { return left_out_total_; }
 
  private:
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/traffic/http_status.h"
 #include "platform/server_fields.h"
 
 namespace heatherlatch {
@@ -33,14 +34,6 @@
 // Source: more than the servers of a rack that are lost at a time.
 constexpr int kMaxNotSent = 4;
 
-enum Status : unsigned {
-  kBadRequest = 400,
-  kNotFound = 404,
-  kBadGateway = 502,
-  kServiceUnavailable = 503,
-  kGatewayTimeout = 504,
-};
-
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 bool IsServerFailure(unsigned status) { return status >= 500; }
 
@@ -167,16 +160,17 @@
                           round](const boost::system::error_code& error) {
     if (!error && round == self->round_) self->Place(self->purpose_);
   });
-  const std::vector<Candidate> asked = candidates_;
-  for (std::size_t i = first; i < asked.size(); ++i) {
-    const BackendServerName& name = asked[i].server.name;
-    const auto known = context_->observations.Reading(name, kReadingMaxAge,
-                                                      SteadyClock::now());
+  // The last reply places the request, and may draw other candidates.
+  const std::size_t count = candidates_.size();
+  for (std::size_t i = first; i < count; ++i) {
+    const Candidate& candidate = candidates_[i];
+    const auto known = context_->observations.Reading(
+        candidate.server.name, kReadingMaxAge, SteadyClock::now());
     if (known) {
-      OnReply(round, i, {Health::kWell, known, asked[i].cold});
+      OnReply(round, i, {Health::kWell, known, candidate.cold});
       continue;
     }
-    asker_->Ask(asked[i].server,
+    asker_->Ask(candidate.server,
                 [self = shared_from_this(), round, i](const LoadReply& reply) {
                   self->OnReply(round, i, reply);
                 });
@@ -235,12 +229,10 @@
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->finished_) self->Ask(Purpose::kAnswer);
         });
-  } else if (may_have_run_) {
-    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
   } else {
     const auto& refusal = std::get<Refuse>(verdict);
-    LogNotPlaced(ToString(refusal.reason), choice);
-    RefuseNotRun(refusal.reason, refusal.retry_after);
+    if (!may_have_run_) LogNotPlaced(ToString(refusal.reason), choice);
+    GiveUp(refusal.reason, refusal.retry_after);
   }
 }
 
@@ -254,7 +246,7 @@
        {"asked", static_cast<double>(candidates_.size())},
        {"best_ms", choice ? ToMilliseconds(choice->expected) : -1},
        {"best_is_full",
-        choice && choice->vacancy == Vacancy::kFull ? 1.0 : 0.0},
+        choice && choice->occupancy == Occupancy::kWaiting ? 1.0 : 0.0},
        {"waits", static_cast<double>(waits_)},
        {"waited_ms", ToMilliseconds(Waited())},
        {"left_ms", ToMilliseconds(TimeLeft())}});
@@ -262,7 +254,7 @@
 
 void Exchange::PlaceSecond(const std::optional<Choice>& choice) {
   const bool in_time =
-      choice && choice->vacancy == Vacancy::kFree &&
+      choice && choice->occupancy != Occupancy::kWaiting &&
       Waited() + choice->expected + kCallerRoundTrip <= route_->latency_target;
   if (!in_time || attempts_.empty()) return;
   if (!context_->Retries(service_).TryRetry()) return;
@@ -323,9 +315,7 @@
 
 void Exchange::ArmSecondSend(Duration expected) {
   if (!route_->idempotent || sends_ >= route_->max_attempts) return;
-  step_timer_.expires_after(
-      std::chrono::duration_cast<Duration>(expected * kLateFactor) +
-      kLateMargin);
+  step_timer_.expires_after(Scale(expected, kLateFactor) + kLateMargin);
   step_timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
         if (error || self->finished_ || self->attempts_.empty()) return;
@@ -357,10 +347,8 @@
   if (!attempts_.empty()) return;
   if (++not_sent_ < kMaxNotSent) {
     Ask(Purpose::kAnswer);
-  } else if (may_have_run_) {
-    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
   } else {
-    RefuseNotRun(NotRunReason::kConnectFailed, kRetryAfter);
+    GiveUp(NotRunReason::kConnectFailed, kRetryAfter);
   }
 }
 
@@ -425,10 +413,8 @@
   if (!attempts_.empty()) return;
   if (MaySendAgain()) {
     Ask(Purpose::kAnswer);
-  } else if (may_have_run_) {
-    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
   } else {
-    RefuseNotRun(NotRunReason::kShedByServer, kRetryAfter);
+    GiveUp(NotRunReason::kShedByServer, kRetryAfter);
   }
 }
 
@@ -472,6 +458,14 @@
   }
 }
 
+void Exchange::GiveUp(NotRunReason reason, Duration retry_after) {
+  if (may_have_run_) {
+    FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+  } else {
+    RefuseNotRun(reason, retry_after);
+  }
+}
+
 void Exchange::RefuseNotRun(NotRunReason reason, Duration retry_after) {
   AnswerItself(kServiceUnavailable, "refused", ToString(reason), retry_after);
 }
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -97,6 +97,8 @@
 
   bool MaySendAgain();
   void OnGiveUp();
+  // Refuses the request, or says that it may have run.
+  void GiveUp(NotRunReason reason, Duration retry_after);
   void RefuseNotRun(NotRunReason reason, Duration retry_after);
   void FailUnknown(unsigned status, UnknownReason reason);
   void AnswerItself(unsigned status, std::string_view outcome,
--- /dev/null
+++ b/heatherlatch/traffic/http_status.h
@@ -0,0 +1,21 @@
+// The HTTP statuses that a host tells apart or gives by itself.
+#ifndef HEATHERLATCH_TRAFFIC_HTTP_STATUS_H_
+#define HEATHERLATCH_TRAFFIC_HTTP_STATUS_H_
+
+namespace heatherlatch {
+
+enum HttpStatus : unsigned {
+  kOk = 200,
+  kBadRequest = 400,
+  kNotFound = 404,
+  kRequestTimeout = 408,
+  kPayloadTooLarge = 413,
+  kHeaderTooLarge = 431,
+  kBadGateway = 502,
+  kServiceUnavailable = 503,
+  kGatewayTimeout = 504,
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_TRAFFIC_HTTP_STATUS_H_
--- a/heatherlatch/traffic/load_asker.cc
+++ b/heatherlatch/traffic/load_asker.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "heatherlatch/traffic/http_status.h"
 #include "platform/server_fields.h"
 
 namespace heatherlatch {
@@ -11,8 +12,6 @@
 // of a health path on the users' sheets, and the way between regions.
 constexpr Duration kQuestionLimit = std::chrono::milliseconds(800);
 
-constexpr unsigned kOk = 200;
-
 }  // namespace
 
 void LoadAsker::Ask(const ServerRecord& server,
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/traffic/http_status.h"
 #include "platform/store_calls.h"
 
 namespace heatherlatch {
@@ -32,8 +33,6 @@
 // The age that is told while the store is lost.
 constexpr Duration kLostAge = std::chrono::hours(1);
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
 constexpr char kFeedPath[] = "/published";
 
 FeedPage ToFeedPage(const wire::StorePage& page, bool is_whole) {
--- a/heatherlatch/traffic/route_statistics.cc
+++ b/heatherlatch/traffic/route_statistics.cc
@@ -42,16 +42,14 @@
   ExpectedWork work;
   work.latency_target = route.latency_target;
   work.nearly_full_factor = kUsualNearlyFullFactor;
-  work.service_time = std::chrono::duration_cast<Duration>(
-      route.latency_target * kShareOfTarget);
+  work.service_time = Scale(route.latency_target, kShareOfTarget);
   work.answer_bytes = route.heavy ? kUsualDownloadBytes : 0;
   const auto found = means_.find(route.name);
   if (found == means_.end()) return work;
   const Means& means = found->second;
   work.answer_bytes = means.bytes.value;
   if (means.milliseconds.count > 0) {
-    work.service_time = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(means.milliseconds.value));
+    work.service_time = FromMilliseconds(means.milliseconds.value);
   }
   if (std::min(means.milliseconds.count,
                means.nearly_full_milliseconds.count) >= kEnoughAnswers) {
--- a/heatherlatch/traffic/server_connections.cc
+++ b/heatherlatch/traffic/server_connections.cc
@@ -28,7 +28,6 @@
     if (connection->IsReusable()) break;
     kept.pop_back();
   }
-  ++opened_;
   return ClientConnection::Open(io_, endpoint);
 }
 
--- a/heatherlatch/traffic/server_connections.h
+++ b/heatherlatch/traffic/server_connections.h
@@ -37,12 +37,9 @@
   // Closes what was idle for too long.
   void CloseIdle(TimePoint now);
 
-  std::uint64_t opened() const { return opened_; }
-
  private:
   boost::asio::io_context* io_;
   std::map<Endpoint, std::vector<std::shared_ptr<ClientConnection>>> idle_;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <utility>
 
+#include "heatherlatch/traffic/http_status.h"
 #include "platform/store_calls.h"
 
 namespace heatherlatch {
@@ -31,8 +32,6 @@
 
 // How long a server is remembered that is not seen again.
 constexpr Duration kServerMemory = std::chrono::minutes(5);
-constexpr unsigned kOk = 200;
-constexpr unsigned kServiceUnavailable = 503;
 
 Duration ReadClock(clockid_t clock) {
   timespec time{};
--- a/heatherlatch/yaml/mapping_reader.cc
+++ b/heatherlatch/yaml/mapping_reader.cc
@@ -211,9 +211,26 @@
                                                Presence presence) {
   const auto text = Scalar(field, presence, "an endpoint");
   if (!text) return std::nullopt;
+  return ToAddress(field, *text);
+}
+
+std::optional<std::vector<Endpoint>> MappingReader::AddressList(
+    std::string_view field, Presence presence) {
+  const auto texts = TextList(field, presence);
+  if (!texts) return std::nullopt;
+  std::vector<Endpoint> addresses;
+  for (const std::string& text : *texts) {
+    std::optional<Endpoint> address = ToAddress(field, text);
+    if (address) addresses.push_back(std::move(*address));
+  }
+  return addresses;
+}
+
+std::optional<Endpoint> MappingReader::ToAddress(std::string_view field,
+                                                 const std::string& text) {
   return boost::leaf::try_handle_all(
       [&]() -> Result<std::optional<Endpoint>> {
-        BOOST_LEAF_AUTO(endpoint, ParseEndpoint(*text));
+        BOOST_LEAF_AUTO(endpoint, ParseEndpoint(text));
         return std::optional<Endpoint>(std::move(endpoint));
       },
       [&](const EndpointError& error) -> std::optional<Endpoint> {
@@ -222,7 +239,7 @@
       },
       [&]() -> std::optional<Endpoint> {
         Report(FindingKind::kWrongType, field,
-               Quoted(*text) + " is not an endpoint");
+               Quoted(text) + " is not an endpoint");
         return std::nullopt;
       });
 }
--- a/heatherlatch/yaml/mapping_reader.h
+++ b/heatherlatch/yaml/mapping_reader.h
@@ -88,6 +88,9 @@
   std::optional<std::uint64_t> Size(std::string_view field, Presence presence,
                                     Range<std::uint64_t> range);
   std::optional<Endpoint> Address(std::string_view field, Presence presence);
+  // Reads a list of endpoints; an entry that is none is reported and left out.
+  std::optional<std::vector<Endpoint>> AddressList(std::string_view field,
+                                                   Presence presence);
 
   // Reads a text that must be one of `choices`.
   // @return its index
@@ -123,6 +126,8 @@
   bool valid() const { return valid_; }
 
  private:
+  std::optional<Endpoint> ToAddress(std::string_view field,
+                                    const std::string& text);
   std::optional<YAML::Node> Find(std::string_view field, Presence presence);
   std::optional<std::string> Scalar(std::string_view field, Presence presence,
                                     std::string_view expected);
--- a/programs/check/check_command.cc
+++ b/programs/check/check_command.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "heatherlatch/base/read_file.h"
 #include "heatherlatch/objects/check.h"
 #include "heatherlatch/settings/host_settings.h"
 #include "programs/check/check_report.h"
@@ -50,17 +51,6 @@
                 "Exit with code 2 if the change gives warnings");
 }
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return std::nullopt;
-  try {
-    return std::string(std::istreambuf_iterator<char>(file),
-                       std::istreambuf_iterator<char>());
-  } catch (const std::ios_base::failure&) {
-    return std::nullopt;  // Such as a folder.
-  }
-}
-
 std::string Summary(const ObjectSet& set) {
   const auto zones_in_service = std::count_if(
       set.zones.begin(), set.zones.end(),
--- a/programs/entry/main.cc
+++ b/programs/entry/main.cc
@@ -1,10 +1,9 @@
 // heatherlatch-entry: the process of one entry host.
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
+#include "heatherlatch/base/read_file.h"
 #include "heatherlatch/entry/caller_server.h"
 #include "heatherlatch/entry/entry_host.h"
 #include "heatherlatch/peer/transport.h"
@@ -69,15 +68,13 @@
 }
 
 int RunWithSettings(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  const std::optional<std::string> text = ReadFile(path);
+  if (!text) {
     std::cerr << "heatherlatch-entry: settings file \"" << path
               << "\" cannot be read\n";
     return kUsage;
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  const auto read = ReadHostSettings(text.str());
+  const auto read = ReadHostSettings(*text);
   if (const auto* settings = std::get_if<HostSettings>(&read)) {
     return RunHost(*settings);
   }
--- a/programs/explain/main.cc
+++ b/programs/explain/main.cc
@@ -1,9 +1,8 @@
 // heatherlatch-explain: why one request ended as it did.
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
+#include "heatherlatch/base/read_file.h"
 #include "programs/explain/explanation.h"
 
 namespace heatherlatch {
@@ -22,15 +21,13 @@
 int Run(const std::string& request, const std::vector<std::string>& logs) {
   std::vector<LogLine> lines;
   for (const std::string& path : logs) {
-    std::ifstream file(path);
-    if (!file) {
+    const std::optional<std::string> text = ReadFile(path);
+    if (!text) {
       std::cerr << "heatherlatch-explain: log \"" << path
                 << "\" cannot be read\n";
       return kUsage;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    const std::vector<LogLine> read = ReadLines(text.str(), path);
+    const std::vector<LogLine> read = ReadLines(*text, path);
     lines.insert(lines.end(), read.begin(), read.end());
   }
   const Explanation explanation = Explain(request, lines);
--- a/programs/host/main.cc
+++ b/programs/host/main.cc
@@ -3,11 +3,11 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
+#include <string>
 
+#include "heatherlatch/base/read_file.h"
 #include "heatherlatch/settings/traffic_host_settings.h"
 #include "heatherlatch/traffic/traffic_host.h"
 
@@ -40,40 +40,40 @@
   // Reads the file and tells every finding on standard error.
   // @return the settings, or the exit code
   std::variant<TrafficHostSettings, ExitCode> Load() {
-    std::ifstream file(path_);
-    if (!file) {
+    std::optional<std::string> text = ReadFile(path_);
+    if (!text) {
       std::cerr << "heatherlatch-host: settings file \"" << path_
                 << "\" cannot be read\n";
       return kUsage;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    text_ = text.str();
-    auto read = ReadTrafficHostSettings(text_);
-    if (auto* settings = std::get_if<TrafficHostSettings>(&read)) {
-      return std::move(*settings);
-    }
-    for (const Finding& finding : std::get<std::vector<Finding>>(read)) {
-      std::cerr << path_ << ": " << ToString(finding) << "\n";
-    }
-    return kSettingsRefused;
+    return Check(std::move(*text));
   }
 
   // @return the settings, where the file changed since it was read and they
   //     can be used
   std::optional<TrafficHostSettings> LoadIfChanged() {
-    std::ifstream file(path_);
-    std::stringstream text;
-    text << file.rdbuf();
+    std::optional<std::string> text = ReadFile(path_);
     // A file that is being replaced may be missing for a moment.
-    if (!file || text.str() == text_) return std::nullopt;
-    auto again = Load();
-    auto* settings = std::get_if<TrafficHostSettings>(&again);
+    if (!text || *text == text_) return std::nullopt;
+    auto checked = Check(std::move(*text));
+    auto* settings = std::get_if<TrafficHostSettings>(&checked);
     if (settings == nullptr) return std::nullopt;
     return std::move(*settings);
   }
 
  private:
+  std::variant<TrafficHostSettings, ExitCode> Check(std::string text) {
+    text_ = std::move(text);
+    auto read = ReadTrafficHostSettings(text_);
+    if (auto* settings = std::get_if<TrafficHostSettings>(&read)) {
+      return std::move(*settings);
+    }
+    for (const Finding& finding : std::get<std::vector<Finding>>(read)) {
+      std::cerr << path_ << ": " << ToString(finding) << "\n";
+    }
+    return kSettingsRefused;
+  }
+
   std::string path_;
   std::string text_;  // As it was read last.
 };
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -3,11 +3,10 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 
+#include "heatherlatch/base/read_file.h"
 #include "programs/load/load_run.h"
 
 namespace {
@@ -34,13 +33,6 @@
 
 void OnStopSignal(int /*signal*/) { shared_progress.stopping = true; }
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 std::string FolderOf(const std::string& path) {
   const auto slash = path.rfind('/');
   return slash == std::string::npos ? "" : path.substr(0, slash + 1);
@@ -69,8 +61,9 @@
   app.add_flag("--json", json, "Print the summary as JSON");
   CLI11_PARSE(app, argc, argv);
 
-  auto read = heatherlatch::load::ReadProfile(ReadFile(profile_path),
-                                              FolderOf(profile_path), targets);
+  auto read = heatherlatch::load::ReadProfile(
+      heatherlatch::ReadFile(profile_path).value_or(""), FolderOf(profile_path),
+      targets);
   if (const auto* problem = std::get_if<ProfileProblem>(&read)) {
     std::cerr << profile_path << ": " << problem->text << std::endl;
     return kExitBadProfile;
--- a/standins/backend/backend_fleet.cc
+++ b/standins/backend/backend_fleet.cc
@@ -116,10 +116,8 @@
   server.max_connections =
       node["max_connections"].as<int>(server.max_connections);
   server.connect_time = Milliseconds(node, "connect_ms", server.connect_time);
-  server.service_mean = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(
-          node["service_mean_ms"].as<double>(
-              ToMilliseconds(server.service_mean))));
+  server.service_mean = FromMilliseconds(
+      node["service_mean_ms"].as<double>(ToMilliseconds(server.service_mean)));
   server.tail_share = node["tail_share"].as<double>(server.tail_share);
   server.tail_factor = node["tail_factor"].as<double>(server.tail_factor);
   server.seed = node["seed"].as<std::uint64_t>(server.seed);
--- a/standins/backend/backend_server.cc
+++ b/standins/backend/backend_server.cc
@@ -30,10 +30,6 @@
   return now > milliseconds(deadline);
 }
 
-Duration Scale(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 void EchoRequestId(const HttpRequest& request, HttpAnswer* answer) {
   const std::string request_id = request.Header("X-Request-Id");
   if (request_id.empty()) return;
--- a/standins/backend/main.cc
+++ b/standins/backend/main.cc
@@ -1,11 +1,10 @@
 // standin-backend: many stand-in backend servers in one process.
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <utility>
 
+#include "heatherlatch/base/read_file.h"
 #include "standins/backend/backend_fleet.h"
 #include "standins/common/stop_signal.h"
 
@@ -28,13 +27,6 @@
     "Exit codes: 0 after SIGTERM, 1 for a bad fleet file, 2 when a port cannot "
     "be used, others for wrong options.";
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -47,7 +39,8 @@
       ->check(CLI::ExistingFile);
   CLI11_PARSE(app, argc, argv);
 
-  auto read = heatherlatch::standins::ReadFleet(ReadFile(fleet_path));
+  auto read = heatherlatch::standins::ReadFleet(
+      heatherlatch::ReadFile(fleet_path).value_or(""));
   if (const auto* problem = std::get_if<FleetProblem>(&read)) {
     std::cerr << fleet_path << ": " << problem->text << std::endl;
     return kExitBadFleet;
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -1,10 +1,9 @@
 // standin-platform: a stand-in for the platform, for tests and trials.
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 
+#include "heatherlatch/base/read_file.h"
 #include "standins/common/stop_signal.h"
 #include "standins/platform/platform_service.h"
 
@@ -21,13 +20,6 @@
     "Exit codes: 0 after SIGTERM, 2 when the port cannot be used, others for "
     "wrong options.";
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -56,9 +48,11 @@
 
   PlatformService service(options);
   if (!configuration_path.empty()) {
-    service.Publish(ReadFile(configuration_path));
+    service.Publish(heatherlatch::ReadFile(configuration_path).value_or(""));
+  }
+  if (!list_path.empty()) {
+    service.SetList(heatherlatch::ReadFile(list_path).value_or(""));
   }
-  if (!list_path.empty()) service.SetList(ReadFile(list_path));
   if (!service.Start()) {
     std::cerr << "cannot listen on " << options.listen << std::endl;
     return kExitCannotListen;
