Place as soon as the answers settle the choice, over kept connections first

Two reasons, both in the logs: requests whose home regions are away opened a new connection to each of six servers (120 ms there and back twice, over the limit of 95 ms) and waited for the slowest; and in a zone whose six drawn servers did not answer, other regions were asked (140 ms), never the sibling zone, since six of the own zone were drawn again.

Change: IsSettled ends the questions once no pending candidate could save 5 ms; candidates with a kept connection are drawn first, two in a region anew; NextReach asks the sibling zone before other regions; servers that failed lately come after those of the sibling zone; a server that did not answer comes after those that did (the header promised it); one that is silent while others answer counts as failed.

Budgets of callers do not tell a first send from a repeat (they spread over 15 %), so late requests cannot be told at a second host.

--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -52,14 +52,22 @@
   return Refuse{NotRunReason::kQueueFull, kRetryAfter};
 }
 
-bool ShouldAskFarther(const std::optional<Choice>& choice,
-                      const PlacementState& state, const ExpectedWork& work) {
-  if (!choice) return true;
-  if (work.answer_bytes > kMostBytesBetweenRegions) return false;
+std::optional<Reach> NextReach(const std::optional<Choice>& choice,
+                               const PlacementState& state,
+                               const ExpectedWork& work, Reach reach) {
+  if (reach == Reach::kEverywhere) return std::nullopt;
   const Duration target_left = state.latency_target - state.waited;
-  if (choice->expected <= target_left) return false;
+  const bool in_time =
+      choice && choice->answered && choice->expected <= target_left;
+  if (in_time) return std::nullopt;
+  if (reach == Reach::kNearest) return Reach::kRegion;
+  if (!choice) return Reach::kEverywhere;
+  if (work.answer_bytes > kMostBytesBetweenRegions) return std::nullopt;
   // One round of questions, and the way there and back.
-  return 2 * kRoundTripBetweenRegions + state.service_time <= target_left;
+  const bool may_meet_target =
+      2 * kRoundTripBetweenRegions + state.service_time <= target_left;
+  return may_meet_target ? std::make_optional(Reach::kEverywhere)
+                         : std::nullopt;
 }
 
 }  // namespace heatherlatch
--- a/heatherlatch/steering/patience.h
+++ b/heatherlatch/steering/patience.h
@@ -12,6 +12,7 @@
 #ifndef HEATHERLATCH_STEERING_PATIENCE_H_
 #define HEATHERLATCH_STEERING_PATIENCE_H_
 
+#include <optional>
 #include <variant>
 
 #include "heatherlatch/base/outcome.h"
@@ -50,15 +51,26 @@
 PatienceVerdict Decide(const std::optional<Choice>& choice,
                        const PlacementState& state);
 
-// Decides whether servers of other regions are asked too.
+// How far from the host candidates have been asked.
+enum class Reach {
+  kNearest,     // Those drawn first, of the own zone where it has enough.
+  kRegion,      // More of the own region, other zones first.
+  kEverywhere,  // Those of other regions too.
+};
+
+// Decides whether more candidates are asked before the request is placed.
 //
-// Load this answers: a region whose slots are taken or whose servers are slow
-// while another has room. Small requests go there where they can still meet
-// their latency target; downloads stay, since traffic between regions costs
-// more than they are worth.
-// @param choice  the best candidate of the own region; empty: there is none
-bool ShouldAskFarther(const std::optional<Choice>& choice,
-                      const PlacementState& state, const ExpectedWork& work);
+// Load this answers: a zone or region whose slots are taken, whose servers are
+// slow or do not answer, while another has room. Another zone costs little, so
+// it is asked as soon as the target would be missed. Small requests go to other
+// regions where they can still meet their latency target; downloads stay, since
+// traffic between regions costs more than they are worth.
+// @param choice  the best candidate so far; empty: there is none
+// @param reach   how far candidates have been asked
+// @return how far to ask next; nothing: what is known decides
+std::optional<Reach> NextReach(const std::optional<Choice>& choice,
+                               const PlacementState& state,
+                               const ExpectedWork& work, Reach reach);
 
 }  // namespace heatherlatch
 
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/steering/steering.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace heatherlatch {
@@ -44,6 +45,39 @@
   return kRegionCrossingFactor;
 }
 
+Duration CrossingCost(Distance distance, const ExpectedWork& work) {
+  const double crossing =
+      CrossingFactor(distance) * work.answer_bytes / kBytesWorthTheTarget;
+  return Scale(work.latency_target, crossing);
+}
+
+// The cost of a candidate that turns out idle and at its usual speed.
+Duration LowestCost(const Candidate& candidate, const ExpectedWork& work) {
+  return RoundTrip(candidate.distance) + work.service_time +
+         CrossingCost(candidate.distance, work);
+}
+
+bool IsInOtherRegion(const Candidate& candidate) {
+  return candidate.distance == Distance::kOtherRegion;
+}
+
+auto PlaceRank(const Candidate& candidate) {
+  return std::make_tuple(IsInOtherRegion(candidate), candidate.failed_lately,
+                         candidate.distance);
+}
+
+void SortByPlace(std::vector<Candidate>::iterator begin,
+                 std::vector<Candidate>::iterator end) {
+  std::stable_sort(begin, end, [](const Candidate& a, const Candidate& b) {
+    return PlaceRank(a) < PlaceRank(b);
+  });
+}
+
+bool IsBetterToAsk(const Candidate& a, const Candidate& b) {
+  return std::make_pair(PlaceRank(a), !a.connected) <
+         std::make_pair(PlaceRank(b), !b.connected);
+}
+
 bool IsColdAndBusy(const Candidate& candidate) {
   return candidate.cold && (!candidate.reading || Outstanding(candidate) > 0);
 }
@@ -76,28 +110,26 @@
 }
 
 Duration ExpectedCost(const Candidate& candidate, const ExpectedWork& work) {
-  const double crossing = CrossingFactor(candidate.distance) *
-                          work.answer_bytes / kBytesWorthTheTarget;
-  return ExpectedTime(candidate, work) + Scale(work.latency_target, crossing);
+  return ExpectedTime(candidate, work) + CrossingCost(candidate.distance, work);
 }
 
 std::vector<Candidate> DrawCandidates(std::vector<Candidate> all,
                                       std::size_t count, std::mt19937_64* rng) {
   std::shuffle(all.begin(), all.end(), *rng);
-  std::stable_sort(all.begin(), all.end(),
-                   [](const Candidate& a, const Candidate& b) {
-                     return std::make_pair(a.distance, a.failed_lately) <
-                            std::make_pair(b.distance, b.failed_lately);
-                   });
+  SortByPlace(all.begin(), all.end());
   if (all.empty()) return all;
   const bool in_region = all.front().distance != Distance::kOtherRegion;
-  std::vector<Candidate> drawn;
-  for (Candidate& candidate : all) {
-    if (drawn.size() == count) break;
-    if (in_region && candidate.distance == Distance::kOtherRegion) break;
-    drawn.push_back(std::move(candidate));
+  if (in_region) {
+    all.erase(std::find_if(all.begin(), all.end(), IsInOtherRegion), all.end());
   }
-  return drawn;
+  if (all.size() <= count) return all;
+  const auto kept_end = all.begin() + static_cast<std::ptrdiff_t>(
+                                          count - (in_region ? kDrawnAnew : 0));
+  std::stable_sort(all.begin(), all.end(), IsBetterToAsk);
+  std::shuffle(kept_end, all.end(), *rng);
+  SortByPlace(kept_end, all.end());
+  all.resize(count);
+  return all;
 }
 
 std::optional<Choice> ChooseServer(const std::vector<Candidate>& candidates,
@@ -107,13 +139,29 @@
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& candidate = candidates[i];
     if (IsColdAndBusy(candidate)) continue;
-    const std::pair<bool, Duration> rank(candidate.failed_lately,
+    const bool is_last = candidate.failed_lately || !candidate.reading;
+    const std::pair<bool, Duration> rank(is_last,
                                          ExpectedCost(candidate, work));
     if (best && best_rank <= rank) continue;
     best_rank = rank;
-    best = Choice{i, ExpectedTime(candidate, work), OccupancyWith(candidate)};
+    best = Choice{i, ExpectedTime(candidate, work), OccupancyWith(candidate),
+                  candidate.reading.has_value()};
   }
   return best;
 }
 
+bool IsSettled(const std::vector<Candidate>& candidates,
+               const ExpectedWork& work) {
+  const std::optional<Choice> choice = ChooseServer(candidates, work);
+  if (!choice || choice->occupancy != Occupancy::kRoomy) return false;
+  const Candidate& best = candidates[choice->index];
+  if (!best.reading || best.failed_lately) return false;
+  const Duration settled = ExpectedCost(best, work) - kSettleMargin;
+  return std::all_of(candidates.begin(), candidates.end(),
+                     [&](const Candidate& candidate) {
+                       return !candidate.reply_pending ||
+                              settled <= LowestCost(candidate, work);
+                     });
+}
+
 }  // namespace heatherlatch
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -34,7 +34,9 @@
   Distance distance = Distance::kSameZone;
   bool cold = false;
   bool failed_lately = false;
-  std::optional<LoadReading> reading;  // Absent: it did not answer in time.
+  bool connected = false;              // A kept connection to it is idle.
+  bool reply_pending = false;          // It was asked and may still answer.
+  std::optional<LoadReading> reading;  // Absent: it has not answered.
   int sent_since_reading = 0;          // By this host, and not in the reading.
 };
 
@@ -93,8 +95,16 @@
 // @return when an answer of the candidate is expected, counted from now
 Duration ExpectedTime(const Candidate& candidate, const ExpectedWork& work);
 
-// Draws at most `count` candidates at random: those of the own zone first, then
-// those of the region, and others only where the region has none.
+// Of the candidates drawn in a region, those that are drawn without regard to
+// kept connections, so that servers that are new get work too.
+// Source: a third of the candidates that a host asks.
+inline constexpr std::size_t kDrawnAnew = 2;
+
+// Draws at most `count` candidates: those of the own zone first, then those of
+// the region, and others only where the region has none. Those that failed
+// lately come last. Within a zone or region, those with a kept connection come
+// first, since a new one costs a server time and a round trip; the choice among
+// equals is random.
 std::vector<Candidate> DrawCandidates(std::vector<Candidate> all,
                                       std::size_t count, std::mt19937_64* rng);
 
@@ -102,8 +112,23 @@
   std::size_t index = 0;  // Of the candidates.
   Duration expected{};
   Occupancy occupancy = Occupancy::kRoomy;
+  bool answered = true;  // The candidate told its load.
 };
 
+// What the wait for a better candidate must at least save.
+// Source: a fifth of the wait for answers in a region.
+inline constexpr Duration kSettleMargin = std::chrono::milliseconds(5);
+
+// Decides whether the answers so far settle the choice.
+//
+// Load this answers: servers that are silent, or to which a connection must
+// first be opened. A request does not wait for their answers where none of them
+// could save more than the wait costs.
+// @return whether the best candidate answered, has room and costs at most
+//     `kSettleMargin` more than any that may still answer, were that one idle
+bool IsSettled(const std::vector<Candidate>& candidates,
+               const ExpectedWork& work);
+
 // @return the candidate with the lowest cost; those that failed lately or did
 //     not answer come last; nothing where there is no candidate, or only cold
 //     ones that already have work
--- a/heatherlatch/steering/steering_test.cc
+++ b/heatherlatch/steering/steering_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace heatherlatch {
@@ -73,6 +74,17 @@
   CHECK(Chosen({candidates[0]}, SmallWork()) == "failed");
 }
 
+TEST_CASE("a server that did not answer comes after those that did") {
+  Candidate silent = MakeCandidate("silent", Distance::kSameZone, {});
+  silent.reading.reset();
+  const Candidate slow =
+      MakeCandidate("slow", Distance::kSameRegion, {3, 1, 3, 7});
+  const ExpectedWork tiny{std::chrono::microseconds(200), 400,
+                          milliseconds(300)};
+  CHECK(Chosen({silent, slow}, tiny) == "slow");
+  CHECK(Chosen({silent}, tiny) == "silent");
+}
+
 TEST_CASE("a server in cold start gets work only while it has none",
           "[promise-02]") {
   Candidate idle = MakeCandidate("cold", Distance::kSameZone, {0, 0, 3, 1});
@@ -102,6 +114,74 @@
   CHECK(DrawCandidates({all[2], all[5]}, 6, &rng).size() == 2);
 }
 
+TEST_CASE("those that failed lately are drawn last, also of the own zone") {
+  std::mt19937_64 rng(20261204);
+  std::vector<Candidate> all;
+  for (int i = 0; i < 8; ++i) {
+    all.push_back(MakeCandidate("zone", Distance::kSameZone, {}));
+    all.back().failed_lately = true;
+    all.push_back(MakeCandidate("region", Distance::kSameRegion, {}));
+  }
+  for (const Candidate& drawn : DrawCandidates(all, 6, &rng)) {
+    CHECK(drawn.distance == Distance::kSameRegion);
+  }
+}
+
+TEST_CASE("kept connections are drawn first, and some others in a region") {
+  std::mt19937_64 rng(20261204);
+  for (const Distance distance :
+       {Distance::kSameZone, Distance::kOtherRegion}) {
+    std::vector<Candidate> all;
+    for (int i = 0; i < 40; ++i) {
+      all.push_back(MakeCandidate("server", distance, {}));
+      all.back().connected = i < 6;
+    }
+    std::size_t fewest = 6;
+    for (int i = 0; i < 50; ++i) {
+      const auto drawn = DrawCandidates(all, 6, &rng);
+      REQUIRE(drawn.size() == 6);
+      const auto connected = static_cast<std::size_t>(
+          std::count_if(drawn.begin(), drawn.end(),
+                        [](const Candidate& one) { return one.connected; }));
+      fewest = std::min(fewest, connected);
+    }
+    CHECK(fewest == (distance == Distance::kOtherRegion ? 6 : 6 - kDrawnAnew));
+  }
+}
+
+TEST_CASE("an idle server settles the choice before others have answered") {
+  Candidate pending = MakeCandidate("pending", Distance::kSameZone, {});
+  pending.reading.reset();
+  pending.reply_pending = true;
+  const auto settled_by = [&](const Candidate& candidate) {
+    return IsSettled({candidate, pending}, SmallWork());
+  };
+  const Candidate idle = MakeCandidate("a", Distance::kSameZone, {0, 0, 3, 1});
+  CHECK(settled_by(idle));
+  CHECK(settled_by(MakeCandidate("a", Distance::kSameRegion, {1, 0, 3, 1})));
+  CHECK_FALSE(
+      settled_by(MakeCandidate("a", Distance::kSameZone, {2, 0, 3, 1})));
+  CHECK_FALSE(
+      settled_by(MakeCandidate("a", Distance::kSameZone, {0, 0, 3, 7})));
+  CHECK_FALSE(
+      settled_by(MakeCandidate("a", Distance::kOtherRegion, {0, 0, 3, 1})));
+  Candidate failed = idle;
+  failed.failed_lately = true;
+  CHECK_FALSE(settled_by(failed));
+  CHECK_FALSE(IsSettled({pending}, SmallWork()));
+}
+
+TEST_CASE("a download waits for an answer of its own zone") {
+  Candidate pending = MakeCandidate("pending", Distance::kSameZone, {});
+  pending.reading.reset();
+  pending.reply_pending = true;
+  const Candidate idle =
+      MakeCandidate("a", Distance::kSameRegion, {0, 0, 3, 1});
+  CHECK_FALSE(IsSettled({idle, pending}, Download()));
+  pending.reply_pending = false;
+  CHECK(IsSettled({idle, pending}, Download()));
+}
+
 TEST_CASE("more load or slowness never lowers the expected time") {
   CHECK(rc::check("expected time grows with load", [] {
     const LoadReading reading{*rc::gen::inRange(0, 8), *rc::gen::inRange(0, 8),
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -18,9 +18,14 @@
 constexpr Duration kReadingMaxAge = std::chrono::milliseconds(1);
 
 // How long answers to questions are waited for. Source: several times the way
-// there and back and the longest probe on the users' sheets.
+// there and back and the longest probe on the users' sheets; between regions
+// twice the way there and back, since a connection may have to be opened first.
 constexpr Duration kAskLimitInRegion = std::chrono::milliseconds(25);
-constexpr Duration kAskLimitBetweenRegions = std::chrono::milliseconds(95);
+// Where no server of a zone answers, the answers may wait on this host's own
+// link. Source: the time that a usual download takes on the slowest link of the
+// users' sheets.
+constexpr Duration kAskLimitOwnLinkBusy = std::chrono::milliseconds(75);
+constexpr Duration kAskLimitBetweenRegions = std::chrono::milliseconds(140);
 
 // The wait of a caller that names none, where its route has no timeout.
 constexpr Duration kDefaultWait = std::chrono::seconds(30);
@@ -106,6 +111,7 @@
     }
     candidate.failed_lately =
         context_->observations.FailedLately(server.name, now);
+    candidate.connected = context_->connections.HasIdle(server.endpoint, now);
     eligible.push_back(std::move(candidate));
   }
   // Where no other server is left, one that was used may answer over a new
@@ -123,33 +129,58 @@
 
 void Exchange::Ask(Purpose purpose) {
   purpose_ = purpose;
-  asked_farther_ = false;
+  reach_ = Reach::kNearest;
   candidates_ = DrawCandidates(Eligible(), kCandidatesAsked, &context_->rng);
   if (candidates_.empty()) {
     Place(purpose);
     return;
   }
-  asked_farther_ = candidates_.front().distance == Distance::kOtherRegion;
-  AskCandidates(0,
-                asked_farther_ ? kAskLimitBetweenRegions : kAskLimitInRegion);
+  const bool far = candidates_.front().distance == Distance::kOtherRegion;
+  if (far) reach_ = Reach::kEverywhere;
+  AskCandidates(0, far ? kAskLimitBetweenRegions : kAskLimitInRegion);
 }
 
-bool Exchange::AskFarther() {
-  asked_farther_ = true;
-  std::vector<Candidate> farther;
-  for (Candidate& candidate : Eligible()) {
-    if (candidate.distance == Distance::kOtherRegion) {
-      farther.push_back(std::move(candidate));
+bool Exchange::Widen(const std::optional<Choice>& choice,
+                     const PlacementState& state, const ExpectedWork& work) {
+  while (const auto next = NextReach(choice, state, work, reach_)) {
+    reach_ = *next;
+    const std::size_t known = candidates_.size();
+    for (Candidate& candidate :
+         DrawCandidates(NotAsked(reach_), kCandidatesAsked, &context_->rng)) {
+      candidates_.push_back(std::move(candidate));
     }
+    if (candidates_.size() == known) continue;
+    const bool any_answered = choice && choice->answered;
+    AskCandidates(known, reach_ == Reach::kEverywhere ? kAskLimitBetweenRegions
+                         : any_answered               ? kAskLimitInRegion
+                                                      : kAskLimitOwnLinkBusy);
+    return true;
   }
-  const std::size_t known = candidates_.size();
-  for (Candidate& candidate :
-       DrawCandidates(std::move(farther), kCandidatesAsked, &context_->rng)) {
-    candidates_.push_back(std::move(candidate));
+  return false;
+}
+
+std::vector<Candidate> Exchange::NotAsked(Reach reach) const {
+  std::vector<Candidate> found;
+  bool other_zone = false;
+  for (Candidate& candidate : Eligible()) {
+    const bool in_region = candidate.distance != Distance::kOtherRegion;
+    if (in_region != (reach == Reach::kRegion)) continue;
+    const auto is_same = [&](const Candidate& asked) {
+      return asked.server.name == candidate.server.name;
+    };
+    if (std::any_of(candidates_.begin(), candidates_.end(), is_same)) continue;
+    other_zone = other_zone || candidate.distance == Distance::kSameRegion;
+    found.push_back(std::move(candidate));
   }
-  if (candidates_.size() == known) return false;
-  AskCandidates(known, kAskLimitBetweenRegions);
-  return true;
+  if (other_zone) {
+    found.erase(std::remove_if(found.begin(), found.end(),
+                               [](const Candidate& candidate) {
+                                 return candidate.distance ==
+                                        Distance::kSameZone;
+                               }),
+                found.end());
+  }
+  return found;
 }
 
 void Exchange::AskCandidates(std::size_t first, Duration limit) {
@@ -158,11 +189,14 @@
   step_timer_.expires_after(limit);
   step_timer_.async_wait([self = shared_from_this(),
                           round](const boost::system::error_code& error) {
-    if (!error && round == self->round_) self->Place(self->purpose_);
+    if (!error && round == self->round_) self->OnAskLimit();
   });
   // The last reply places the request, and may draw other candidates.
   const std::size_t count = candidates_.size();
   for (std::size_t i = first; i < count; ++i) {
+    candidates_[i].reply_pending = true;
+  }
+  for (std::size_t i = first; i < count && round == round_; ++i) {
     const Candidate& candidate = candidates_[i];
     const auto known = context_->observations.Reading(
         candidate.server.name, kReadingMaxAge, SteadyClock::now());
@@ -177,17 +211,40 @@
   }
 }
 
+void Exchange::OnAskLimit() {
+  if (finished_) return;
+  const auto answered = [](const Candidate& candidate) {
+    return candidate.reading.has_value();
+  };
+  // Where nothing answers at all, the way to this host may be at fault.
+  if (std::any_of(candidates_.begin(), candidates_.end(), answered)) {
+    for (const Candidate& candidate : candidates_) {
+      const bool in_region = candidate.distance != Distance::kOtherRegion;
+      if (!candidate.reply_pending || !in_region) continue;
+      context_->observations.OnFailure(candidate.server.name,
+                                       SteadyClock::now());
+    }
+  }
+  Place(purpose_);
+}
+
 void Exchange::OnReply(std::size_t round, std::size_t index,
                        const LoadReply& reply) {
   if (finished_ || round != round_) return;
   Candidate& candidate = candidates_[index];
+  candidate.reply_pending = false;
+  candidate.sent_since_reading =
+      context_->observations.SentSinceReading(candidate.server.name);
   candidate.reading = reply.reading;
   candidate.cold = candidate.cold || reply.cold;
   if (reply.health == Health::kWell && !candidate.reading) {
     candidate.reading = LoadReading{0, 0, candidate.server.slots, 1};
   }
   if (reply.health != Health::kWell) candidate.failed_lately = true;
-  if (--replies_missing_ == 0) Place(purpose_);
+  const bool settled =
+      --replies_missing_ == 0 ||
+      IsSettled(candidates_, context_->statistics.Expect(*route_));
+  if (settled) Place(purpose_);
 }
 
 void Exchange::Place(Purpose purpose) {
@@ -196,6 +253,7 @@
   step_timer_.cancel();
   const TimePoint now = SteadyClock::now();
   for (Candidate& candidate : candidates_) {
+    candidate.reply_pending = false;
     candidate.sent_since_reading =
         context_->observations.SentSinceReading(candidate.server.name);
   }
@@ -215,10 +273,7 @@
   }
   const PlacementState state{Waited(), route_->latency_target, TimeLeft(),
                              work.service_time};
-  if (!asked_farther_ && ShouldAskFarther(choice, state, work) &&
-      AskFarther()) {
-    return;
-  }
+  if (Widen(choice, state, work)) return;
   const PatienceVerdict verdict = Decide(choice, state);
   if (std::holds_alternative<SendNow>(verdict)) {
     Send(candidates_[choice->index], choice->expected);
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -74,10 +74,14 @@
 
   void ArmGiveUp();
   void Ask(Purpose purpose);
-  // Asks servers of other regions, besides the candidates asked so far.
-  // @return whether there are any
-  bool AskFarther();
+  // Asks servers farther away, besides the candidates asked so far.
+  // @return whether there are any that are worth asking
+  bool Widen(const std::optional<Choice>& choice, const PlacementState& state,
+             const ExpectedWork& work);
+  // @return the eligible servers within `reach` that were not asked yet
+  std::vector<Candidate> NotAsked(Reach reach) const;
   void AskCandidates(std::size_t first, Duration limit);
+  void OnAskLimit();
   std::vector<Candidate> Eligible() const;
   void OnReply(std::size_t round, std::size_t index, const LoadReply& reply);
   void Place(Purpose purpose);
@@ -126,7 +130,7 @@
   std::vector<Candidate> candidates_;
   std::size_t replies_missing_ = 0;
   Purpose purpose_ = Purpose::kAnswer;
-  bool asked_farther_ = false;
+  Reach reach_ = Reach::kNearest;
 
   std::vector<AttemptPtr> attempts_;  // Under way.
   std::set<BackendServerName> used_;
--- a/heatherlatch/traffic/server_connections.cc
+++ b/heatherlatch/traffic/server_connections.cc
@@ -31,6 +31,12 @@
   return ClientConnection::Open(io_, endpoint);
 }
 
+bool ServerConnections::HasIdle(const Endpoint& endpoint, TimePoint now) const {
+  const auto kept = idle_.find(endpoint);
+  return kept != idle_.end() && !kept->second.empty() &&
+         IsFit(*kept->second.back(), kIdleLimit, now);
+}
+
 void ServerConnections::Return(const Endpoint& endpoint,
                                std::shared_ptr<ClientConnection> connection) {
   if (connection->IsReusable()) {
--- a/heatherlatch/traffic/server_connections.h
+++ b/heatherlatch/traffic/server_connections.h
@@ -30,6 +30,9 @@
   std::shared_ptr<ClientConnection> Take(const Endpoint& endpoint,
                                          bool fresh_only, TimePoint now);
 
+  // @return whether a kept connection is fit for a call
+  bool HasIdle(const Endpoint& endpoint, TimePoint now) const;
+
   // Keeps a connection for the next call, if it is fit for one.
   void Return(const Endpoint& endpoint,
               std::shared_ptr<ClientConnection> connection);
