Keep requests at a starting host until its first configuration arrives

A host that starts away from the store's region learns the list after 135 to 260 ms (120 ms there and back twice, 100 ms of transfer on a link of 10 Mbit/s) and refused all that came in the meantime, with 250 ms to come back and a new connection to open: late for nearly each of them.

Change: until `first_wait` (a setting, 400 ms after the start) such requests wait for the configuration; after it they are refused at once as before.

Ruled out: start of the process (2 ms of processor time), reading the list (25 ms at most; the rest is the link's), a shorter Retry-After (the callers repeat twice only, and other hosts start too).

--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -13,6 +13,8 @@
 
 constexpr Range<Duration> kStopWaitRange{std::chrono::seconds(1),
                                          std::chrono::hours(2)};
+constexpr Range<Duration> kFirstWaitRange{Duration::zero(),
+                                          std::chrono::minutes(1)};
 constexpr Range<double> kRetryShareRange{0, 1};
 
 void ReadZones(MappingReader* reader, TrafficHostSettings* settings) {
@@ -56,6 +58,8 @@
   ReadZones(&reader, &settings);
   AssignIfPresent(reader.Time("stop_wait", kOptional, kStopWaitRange),
                   &settings.stop_wait);
+  AssignIfPresent(reader.Time("first_wait", kOptional, kFirstWaitRange),
+                  &settings.first_wait);
   AssignIfPresent(reader.Number("retry_share", kOptional, kRetryShareRange),
                   &settings.retry_share);
   reader.Finish();
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -34,6 +34,10 @@
   std::map<ZoneName, RegionName> zones;
   // Until the process is killed after it was asked to stop.
   Duration stop_wait = std::chrono::seconds(6);
+  // How long after its start the host keeps requests until it knows its first
+  // configuration. Source: twice the way to the store and back between regions,
+  // and the time that the list takes on the slowest link of the users' sheets.
+  Duration first_wait = std::chrono::milliseconds(400);
   // Share of requests that may be sent once more.
   double retry_share = 0.2;
 };
--- a/heatherlatch/settings/traffic_host_settings_test.cc
+++ b/heatherlatch/settings/traffic_host_settings_test.cc
@@ -17,6 +17,7 @@
 first_start: true
 seeds: ["10.0.0.1:8544","10.2.0.1:8544"]
 stop_wait: 6s
+first_wait: 250ms
 retry_share: 0.2
 )";
 
@@ -36,6 +37,7 @@
   CHECK(settings.seeds.size() == 2);
   CHECK(settings.first_start);
   CHECK(settings.stop_wait == std::chrono::seconds(6));
+  CHECK(settings.first_wait == std::chrono::milliseconds(250));
   CHECK(settings.retry_share == 0.2);
 }
 
@@ -50,7 +52,7 @@
   CHECK(findings[0].line == 5);
   CHECK(findings[1].field == "seeds");
   CHECK(findings[2].kind == FindingKind::kUnknownKey);
-  CHECK(findings[2].line == 14);
+  CHECK(findings[2].line == 15);
   CHECK(FindingsOf("host: a\n").size() == 6);
 }
 
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -50,11 +50,22 @@
       asker_(asker),
       request_(std::move(request)),
       done_(std::move(done)),
-      routes_(context->routes),
       give_up_timer_(*context->io),
       step_timer_(*context->io) {}
 
 void Exchange::Start() {
+  if (!context_->MayAwaitFirstConfiguration()) {
+    Route();
+    return;
+  }
+  context_->log.Write("kept-at-start", {{"request", request_.request_id}});
+  context_->AwaitFirstConfiguration([self = shared_from_this()] {
+    if (!self->finished_) self->Route();
+  });
+}
+
+void Exchange::Route() {
+  routes_ = context_->routes;
   if (!routes_) {
     RefuseNotRun(NotRunReason::kConfigurationUnavailable, kRetryAfter);
     return;
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -72,6 +72,7 @@
     kSecondSend,  // One is, and takes longer than expected.
   };
 
+  void Route();
   void ArmGiveUp();
   void Ask(Purpose purpose);
   // Asks servers farther away, besides the candidates asked so far.
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -27,7 +27,19 @@
       settings(std::move(host_settings)),
       connections(io_context),
       log(log_descriptor, kMaxWaitingLogBytes),
-      rng(seed) {}
+      rng(seed),
+      first_configuration_(*io_context, settings.first_wait) {}
+
+void TrafficContext::AwaitFirstConfiguration(std::function<void()> resume) {
+  first_configuration_.async_wait(
+      [resume = std::move(resume)](const boost::system::error_code&) {
+        resume();
+      });
+}
+
+bool TrafficContext::MayAwaitFirstConfiguration() const {
+  return !routes && SteadyClock::now() < first_configuration_.expiry();
+}
 
 RetryBudget& TrafficContext::Retries(const ServiceName& service) {
   return retries_
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -5,6 +5,8 @@
 #define HEATHERLATCH_TRAFFIC_TRAFFIC_CONTEXT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -26,6 +28,14 @@
   TrafficContext(boost::asio::io_context* io, TrafficHostSettings settings,
                  int log_descriptor, std::uint64_t seed);
 
+  // Runs `resume` once the host knows a configuration, or has been up for the
+  // `first_wait` of its settings.
+  void AwaitFirstConfiguration(std::function<void()> resume);
+  // @return whether requests are kept until a configuration is known
+  bool MayAwaitFirstConfiguration() const;
+  // Resumes what waits for it.
+  void OnConfiguration() { first_configuration_.cancel(); }
+
   // @return the share of this host in the retry budget of a service
   RetryBudget& Retries(const ServiceName& service);
 
@@ -49,6 +59,8 @@
   RegionName RegionOf(const ZoneName& zone) const;
 
   std::map<ServiceName, RetryBudget> retries_;
+  // Expires when requests no longer wait for the first configuration.
+  boost::asio::steady_timer first_configuration_;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -58,6 +58,7 @@
             [this](const std::vector<PublishedItem>& items) {
               const TimePoint now = SteadyClock::now();
               for (const PublishedItem& item : items) Apply(item, now);
+              if (context_.routes) context_.OnConfiguration();
             }),
       signals_(*io, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(*io),
