Refuse contents that crash their servers after the third crash, on all hosts

Cause: a request that crashes each server that runs it comes again at any host, and no host kept the rule over the fleet (listed as missing in docs/PROMISES.md): each host sent it on to max_attempts servers every time.

Change: the host judges each run without an answer by asking its server over a new connection; only where nothing listens any more did it crash. Contents that crashed a server run alone, and are refused after the third crash, for a minute. Crashes are told to the readers and from them to all that follow (digest only). The digest of a content moves to admission, one copy for both programs.

--- a/heatherlatch/entry/content_digest.cc
+++ b/heatherlatch/admission/content_digest.cc
@@ -1,5 +1,7 @@
-#include "heatherlatch/entry/content_digest.h"
+#include "heatherlatch/admission/content_digest.h"
 
+// The program of a host links no library for it.
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace heatherlatch {
--- a/heatherlatch/entry/content_digest.h
+++ b/heatherlatch/admission/content_digest.h
@@ -1,8 +1,8 @@
 // Hashes the content of a request.
 //
 // Thread safety: pure functions.
-#ifndef HEATHERLATCH_ENTRY_CONTENT_DIGEST_H_
-#define HEATHERLATCH_ENTRY_CONTENT_DIGEST_H_
+#ifndef HEATHERLATCH_ADMISSION_CONTENT_DIGEST_H_
+#define HEATHERLATCH_ADMISSION_CONTENT_DIGEST_H_
 
 #include <string_view>
 
@@ -16,4 +16,4 @@
 
 }  // namespace heatherlatch
 
-#endif  // HEATHERLATCH_ENTRY_CONTENT_DIGEST_H_
+#endif  // HEATHERLATCH_ADMISSION_CONTENT_DIGEST_H_
--- a/heatherlatch/admission/crash_suspects.h
+++ b/heatherlatch/admission/crash_suspects.h
@@ -12,7 +12,8 @@
 // When the memory is full, the suspect with the fewest crashes, and of these
 // the oldest, is forgotten. It is then met as an unknown content again.
 //
-// Suspicion is shared with hosts of the home regions only, by digest.
+// Suspicion is shared by digest, which tells nothing of the content; the entry
+// process shares it with hosts of the home regions only.
 //
 // Thread safety: none; the caller serialises access. Reads no clock.
 #ifndef HEATHERLATCH_ADMISSION_CRASH_SUSPECTS_H_
--- a/heatherlatch/backend/testing/raw_server.h
+++ b/heatherlatch/backend/testing/raw_server.h
@@ -95,6 +95,14 @@
     for (std::thread& thread : threads_) thread.join();
   }
 
+  // Ends as a process does that crashes: connections are closed, and nothing
+  // listens any more. May be called by a script.
+  void Crash() {
+    shutdown(listener_, SHUT_RDWR);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const int socket : sockets_) shutdown(socket, SHUT_RDWR);
+  }
+
   const Endpoint& endpoint() const { return endpoint_; }
   int connections() const { return connections_; }
 
--- a/heatherlatch/entry/dispatcher.cc
+++ b/heatherlatch/entry/dispatcher.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "heatherlatch/entry/caller_request.h"
-#include "heatherlatch/entry/content_digest.h"
+#include "heatherlatch/admission/content_digest.h"
 
 namespace heatherlatch {
 namespace {
--- a/heatherlatch/entry/executor.cc
+++ b/heatherlatch/entry/executor.cc
@@ -4,7 +4,7 @@
 #include <thread>
 #include <utility>
 
-#include "heatherlatch/entry/content_digest.h"
+#include "heatherlatch/admission/content_digest.h"
 #include "heatherlatch/entry/internal/region_list.h"
 
 namespace heatherlatch {
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -38,6 +38,32 @@
   return item;
 }
 
+// A notice is [service, digest, crashes, age in milliseconds].
+Json ToJson(const std::vector<SuspectNotice>& notices) {
+  Json encoded = Json::array();
+  for (const SuspectNotice& notice : notices) {
+    encoded.push_back(
+        {notice.service.str(), notice.digest, notice.crashes,
+         std::chrono::duration_cast<std::chrono::milliseconds>(notice.age)
+             .count()});
+  }
+  return encoded;
+}
+
+// Hosts of an earlier version tell no suspects.
+std::vector<SuspectNotice> ToNotices(const Json& message) {
+  std::vector<SuspectNotice> notices;
+  if (!message.contains("suspects")) return notices;
+  for (const Json& encoded : message.at("suspects")) {
+    notices.push_back(
+        {encoded.at(1).get<ContentDigest>(),
+         ServiceName(encoded.at(0).get<std::string>()),
+         encoded.at(2).get<int>(),
+         std::chrono::milliseconds(encoded.at(3).get<std::uint32_t>())});
+  }
+  return notices;
+}
+
 }  // namespace
 
 bool IsInTouch(const FeedAnswer& answer) {
@@ -45,9 +71,13 @@
 }
 
 std::string Encode(const FeedQuestion& question) {
-  return ToBytes({{"from", ToString(question.asker)},
+  Json message = {{"from", ToString(question.asker)},
                   {"after", question.after},
-                  {"wait", static_cast<std::int64_t>(question.wait.count())}});
+                  {"wait", static_cast<std::int64_t>(question.wait.count())}};
+  if (!question.suspects.empty()) {
+    message["suspects"] = ToJson(question.suspects);
+  }
+  return ToBytes(message);
 }
 
 std::string Encode(const FeedAnswer& answer) {
@@ -55,12 +85,14 @@
   for (const PublishedItem& item : answer.page.items) {
     items.push_back(ToJson(item));
   }
-  return ToBytes({{"rev", answer.page.revision},
+  Json message = {{"rev", answer.page.revision},
                   {"whole", answer.page.is_whole},
                   {"age", static_cast<std::int64_t>(answer.age.count())},
                   {"hops", answer.hops},
                   {"away", answer.store_was_away},
-                  {"items", std::move(items)}});
+                  {"items", std::move(items)}};
+  if (!answer.suspects.empty()) message["suspects"] = ToJson(answer.suspects);
+  return ToBytes(message);
 }
 
 Result<FeedQuestion> DecodeFeedQuestion(std::string_view bytes) {
@@ -72,6 +104,7 @@
         std::chrono::milliseconds(message.at("wait").get<std::uint32_t>());
     BOOST_LEAF_ASSIGN(question.asker,
                       ParseEndpoint(message.at("from").get<std::string>()));
+    question.suspects = ToNotices(message);
     return question;
   } catch (const Json::exception& error) {
     return Fail(PeerMessageError{error.what()});
@@ -88,6 +121,7 @@
         std::chrono::milliseconds(message.at("age").get<std::int64_t>());
     answer.hops = message.at("hops").get<int>();
     answer.store_was_away = message.at("away").get<bool>();
+    answer.suspects = ToNotices(message);
     for (const Json& item : message.at("items")) {
       answer.page.items.push_back(ToItem(item));
     }
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -6,7 +6,9 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "heatherlatch/admission/crash_suspects.h"
 #include "heatherlatch/base/endpoint.h"
 #include "heatherlatch/base/result.h"
 #include "heatherlatch/base/time.h"
@@ -22,7 +24,8 @@
 struct FeedQuestion {
   Endpoint asker;  // Where the asking host can be asked in turn.
   std::uint64_t after = 0;
-  std::chrono::milliseconds wait{};  // For a change.
+  std::chrono::milliseconds wait{};     // For a change.
+  std::vector<SuspectNotice> suspects;  // That the asker has found.
 };
 
 // The most hosts between an answering host and the store whose answer counts.
@@ -43,6 +46,7 @@
   int hops = 0;
   // Whether the store was away lately, so that servers may have lapsed.
   bool store_was_away = false;
+  std::vector<SuspectNotice> suspects;
 };
 
 // @return whether the answering host is in touch with the store, so that an
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -13,12 +13,19 @@
 using testing::ValueOf;
 
 TEST_CASE("a question and an answer are read as they were written") {
-  const FeedQuestion question{{"10.0.0.1", 8544}, 77, milliseconds(600)};
+  const SuspectNotice suspect{~0ULL, ServiceName("tally"), 2, milliseconds(40)};
+  const FeedQuestion question{
+      {"10.0.0.1", 8544}, 77, milliseconds(600), {suspect}};
   const auto read = ValueOf(DecodeFeedQuestion(Encode(question)));
   REQUIRE(read);
   CHECK(read->asker == question.asker);
   CHECK(read->after == 77);
   CHECK(read->wait == milliseconds(600));
+  REQUIRE(read->suspects.size() == 1);
+  CHECK(read->suspects[0].digest == suspect.digest);
+  CHECK(read->suspects[0].service == suspect.service);
+  CHECK(read->suspects[0].crashes == 2);
+  CHECK(read->suspects[0].age == milliseconds(40));
 
   FeedAnswer answer;
   answer.page = {
@@ -28,6 +35,7 @@
   answer.age = milliseconds(120);
   answer.hops = 1;
   answer.store_was_away = true;
+  answer.suspects = {suspect, suspect};
   const auto back = ValueOf(DecodeFeedAnswer(Encode(answer)));
   REQUIRE(back);
   CHECK(back->page.is_whole);
@@ -38,6 +46,7 @@
   CHECK(back->age == milliseconds(120));
   CHECK(back->hops == 1);
   CHECK(back->store_was_away);
+  CHECK(back->suspects.size() == 2);
 }
 
 TEST_CASE("bytes that are no message give an error and nothing else") {
--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -56,6 +56,13 @@
   return Refuse{NotRunReason::kQueueFull, kRetryAfter};
 }
 
+PatienceVerdict DecideWithoutIdle(const PlacementState& state) {
+  if (state.time_left > kLateServiceTimes * state.service_time) {
+    return AskAgain{kAskAgainInterval};
+  }
+  return Refuse{NotRunReason::kSuspectedOfCrashingServers, kRetryAfter};
+}
+
 std::optional<Reach> NextReach(const std::optional<Choice>& choice,
                                const PlacementState& state,
                                const ExpectedWork& work, Reach reach) {
--- a/heatherlatch/steering/patience.h
+++ b/heatherlatch/steering/patience.h
@@ -64,6 +64,13 @@
 PatienceVerdict Decide(const std::optional<Choice>& choice,
                        const PlacementState& state);
 
+// Decides about a request that must run alone on a server, where no candidate
+// is idle.
+//
+// Load this answers: requests that are suspected of crashing their servers, so
+// that no other request is lost with them.
+PatienceVerdict DecideWithoutIdle(const PlacementState& state);
+
 // How far from the host candidates have been asked.
 enum class Reach {
   kNearest,     // Those drawn first, of the own zone where it has enough.
--- a/heatherlatch/steering/patience_test.cc
+++ b/heatherlatch/steering/patience_test.cc
@@ -63,6 +63,12 @@
                         State(250, 470))) == "refuse");
 }
 
+TEST_CASE(
+    "a request that must run alone waits for an idle server, not for ever") {
+  CHECK(Describe(DecideWithoutIdle(State(0, 3000))) == "ask");
+  CHECK(Describe(DecideWithoutIdle(State(2600, 400))) == "refuse");
+}
+
 // The reach that is asked next, or the reach so far where nothing more is
 // asked.
 Reach Next(const std::optional<Choice>& choice, const PlacementState& state,
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -84,6 +84,10 @@
 
 }  // namespace
 
+bool IsIdle(const Candidate& candidate) {
+  return candidate.reading && Outstanding(candidate) == 0;
+}
+
 Duration RoundTrip(Distance distance) {
   switch (distance) {
     case Distance::kSameZone:
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -56,6 +56,10 @@
 };
 
 Occupancy OccupancyWith(const Candidate& candidate);
+// @return whether the candidate told that it runs nothing, and got nothing
+// since
+bool IsIdle(const Candidate& candidate);
+
 // The way to the caller and back, which the latency target counts too.
 // Source: the users' sheets, 8 ms one way.
 inline constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(16);
--- a/heatherlatch/steering/steering_test.cc
+++ b/heatherlatch/steering/steering_test.cc
@@ -85,6 +85,17 @@
   CHECK(Chosen({silent}, tiny) == "silent");
 }
 
+TEST_CASE("a server is idle only if it says so and got nothing since") {
+  Candidate candidate = MakeCandidate("a", Distance::kSameZone, {0, 0, 3, 1});
+  CHECK(IsIdle(candidate));
+  candidate.sent_since_reading = 1;
+  CHECK_FALSE(IsIdle(candidate));
+  CHECK_FALSE(IsIdle(MakeCandidate("a", Distance::kSameZone, {1, 0, 3, 1})));
+  candidate.reading.reset();
+  candidate.sent_since_reading = 0;
+  CHECK_FALSE(IsIdle(candidate));
+}
+
 TEST_CASE("a server in cold start gets work only while it has none",
           "[promise-02]") {
   Candidate idle = MakeCandidate("cold", Distance::kSameZone, {0, 0, 3, 1});
--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -73,7 +73,8 @@
   if (!open_) return;
   if (error) {
     Close();
-    Finish(NotSent{"connect: " + error.message()});
+    Finish(NotSent{"connect: " + error.message(),
+                   error == asio::error::connection_refused});
     return;
   }
   connected_ = true;
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -33,6 +33,7 @@
 // The request has not left this host.
 struct NotSent {
   std::string problem;
+  bool refused = false;  // Nothing listens at the endpoint.
 };
 // The request left, and no whole answer came.
 struct NoAnswer {
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/admission/content_digest.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "platform/server_fields.h"
 
@@ -39,6 +40,24 @@
 // Source: more than the servers of a rack that are lost at a time.
 constexpr int kMaxNotSent = 4;
 
+// When a caller may come back whose content is known to crash servers. Source:
+// a content is suspected for a minute; callers honour a third of their time.
+constexpr Duration kSuspectRetryAfter = std::chrono::seconds(5);
+
+std::string_view ToString(SuspectVerdict verdict) {
+  switch (verdict) {
+    case SuspectVerdict::kClear:
+      return "clear";
+    case SuspectVerdict::kIsolate:
+      return "alone";
+    case SuspectVerdict::kWait:
+      return "wait";
+    case SuspectVerdict::kRefuse:
+      return "refuse";
+  }
+  return "clear";
+}
+
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 bool IsServerFailure(unsigned status) { return status >= 500; }
 
@@ -89,11 +108,71 @@
     return;
   }
   service_ = part->service;
+  digest_ = DigestOf(request_.method, request_.target, request_.body);
   context_->Retries(service_).OnSuccess();
   ArmGiveUp();
   Ask(Purpose::kAnswer);
 }
 
+bool Exchange::Admit() {
+  if (admitted_) return true;
+  const SuspectVerdict verdict =
+      context_->suspects.Admit(service_, digest_, SteadyClock::now());
+  admitted_ =
+      verdict == SuspectVerdict::kClear || verdict == SuspectVerdict::kIsolate;
+  runs_alone_ = verdict == SuspectVerdict::kIsolate;
+  if (verdict != SuspectVerdict::kClear) {
+    context_->log.Write("suspected", {{"request", request_.request_id},
+                                      {"digest", std::to_string(digest_)},
+                                      {"verdict", ToString(verdict)}});
+  }
+  if (verdict == SuspectVerdict::kWait) AskAgainAfter(kAskAgainWhenLate);
+  if (verdict == SuspectVerdict::kRefuse) {
+    GiveUp(NotRunReason::kSuspectedOfCrashingServers, kSuspectRetryAfter);
+  }
+  return admitted_;
+}
+
+void Exchange::EndAdmission() {
+  if (!admitted_) return;
+  admitted_ = false;
+  context_->suspects.OnEndWithoutAnswer(service_, digest_);
+}
+
+void Exchange::JudgeLoss(const ServerRecord& server,
+                         std::function<void()> then) {
+  const bool was_admitted = std::exchange(admitted_, false);
+  const std::size_t round = ++round_;
+  const auto go_on = [self = shared_from_this(), round,
+                      then = std::move(then)] {
+    if (self->finished_ || round != self->round_) return;
+    ++self->round_;
+    self->step_timer_.cancel();
+    then();
+  };
+  step_timer_.expires_after(kAskLimitInRegion);
+  step_timer_.async_wait([go_on](const boost::system::error_code& error) {
+    if (!error) go_on();
+  });
+  asker_->AskAnew(server, [context = context_, service = service_,
+                           digest = digest_, name = server.name, was_admitted,
+                           go_on](const LoadReply& reply) {
+    if (was_admitted && reply.health == Health::kGone) {
+      const SuspectNotice notice =
+          context->suspects.OnEnd(service, digest, true, SteadyClock::now());
+      context->log.Write("server-crashed",
+                         {{"server", name.str()},
+                          {"service", service.str()},
+                          {"digest", std::to_string(digest)},
+                          {"crashes", static_cast<double>(notice.crashes)}});
+      context->share_suspect(notice);
+    } else if (was_admitted) {
+      context->suspects.OnEndWithoutAnswer(service, digest);
+    }
+    go_on();
+  });
+}
+
 void Exchange::ArmGiveUp() {
   Duration wait = request_.wait.value_or(kDefaultWait) - kCallerRoundTrip;
   if (route_->timeout) wait = std::min(wait, *route_->timeout);
@@ -139,6 +218,7 @@
 }
 
 void Exchange::Ask(Purpose purpose) {
+  if (!Admit()) return;
   purpose_ = purpose;
   reach_ = Reach::kNearest;
   candidates_ = DrawCandidates(Eligible(), kCandidatesAsked, &context_->rng);
@@ -254,7 +334,8 @@
   if (reply.health != Health::kWell) candidate.failed_lately = true;
   const bool settled =
       --replies_missing_ == 0 ||
-      IsSettled(candidates_, context_->statistics.Expect(*route_));
+      (!runs_alone_ &&
+       IsSettled(candidates_, context_->statistics.Expect(*route_)));
   if (settled) Place(purpose_);
 }
 
@@ -276,6 +357,13 @@
                                             nullptr;
                                    }),
                     candidates_.end());
+  if (runs_alone_) {
+    candidates_.erase(std::remove_if(candidates_.begin(), candidates_.end(),
+                                     [](const Candidate& candidate) {
+                                       return !IsIdle(candidate);
+                                     }),
+                      candidates_.end());
+  }
   const ExpectedWork work = context_->statistics.Expect(*route_);
   const std::optional<Choice> choice = ChooseServer(candidates_, work);
   if (purpose == Purpose::kSecondSend) {
@@ -285,16 +373,13 @@
   const PlacementState state{Waited(), route_->latency_target, TimeLeft(),
                              work.service_time};
   if (Widen(choice, state, work)) return;
-  const PatienceVerdict verdict = Decide(choice, state);
+  const PatienceVerdict verdict =
+      runs_alone_ && !choice ? DecideWithoutIdle(state) : Decide(choice, state);
   if (std::holds_alternative<SendNow>(verdict)) {
     Send(candidates_[choice->index], choice->expected);
   } else if (const auto* again = std::get_if<AskAgain>(&verdict)) {
     if (++waits_ == 1) LogNotPlaced("waits", choice);
-    step_timer_.expires_after(again->after);
-    step_timer_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && !self->finished_) self->Ask(Purpose::kAnswer);
-        });
+    AskAgainAfter(again->after);
   } else {
     const auto& refusal = std::get<Refuse>(verdict);
     if (!may_have_run_) LogNotPlaced(ToString(refusal.reason), choice);
@@ -302,6 +387,14 @@
   }
 }
 
+void Exchange::AskAgainAfter(Duration delay) {
+  step_timer_.expires_after(delay);
+  step_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->finished_) self->Ask(Purpose::kAnswer);
+      });
+}
+
 void Exchange::LogNotPlaced(std::string_view reason,
                             const std::optional<Choice>& choice) {
   context_->log.Write(
@@ -380,7 +473,9 @@
 }
 
 void Exchange::ArmSecondSend(Duration expected) {
-  if (!route_->idempotent || sends_ >= route_->max_attempts) return;
+  if (!route_->idempotent || runs_alone_ || sends_ >= route_->max_attempts) {
+    return;
+  }
   step_timer_.expires_after(Scale(expected, kLateFactor) + kLateMargin);
   step_timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
@@ -411,6 +506,7 @@
   context_->metrics.Count("attempts", "not-sent");
   --sends_;
   if (!attempts_.empty()) return;
+  EndAdmission();
   if (++not_sent_ < kMaxNotSent) {
     Ask(Purpose::kAnswer);
   } else {
@@ -427,11 +523,13 @@
                                     {"problem", problem}});
   context_->metrics.Count("attempts", "no-answer");
   if (!attempts_.empty()) return;
-  if (route_->idempotent && MaySendAgain()) {
-    Ask(Purpose::kAnswer);
-    return;
-  }
-  FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+  JudgeLoss(attempt->server, [this] {
+    if (route_->idempotent && MaySendAgain()) {
+      Ask(Purpose::kAnswer);
+    } else {
+      FailUnknown(kBadGateway, UnknownReason::kAnswerLost);
+    }
+  });
 }
 
 void Exchange::OnServerAnswer(const AttemptPtr& attempt,
@@ -450,12 +548,17 @@
     return;
   }
   if (fields.not_run) {
+    if (attempts_.empty()) EndAdmission();
     const bool had_room = fields.load
                               ? HasFreeSlot(*fields.load)
                               : attempt->occupancy != Occupancy::kWaiting;
     OnNotRun(attempt, status, had_room);
     return;
   }
+  if (admitted_) {
+    admitted_ = false;
+    context_->suspects.OnEnd(service_, digest_, false, now);
+  }
   if (IsServerFailure(status)) {
     context_->observations.OnFailure(attempt->server.name, now);
     may_have_run_ = true;
@@ -558,6 +661,7 @@
 void Exchange::Finish(CallerAnswer answer, std::string_view outcome,
                       std::string_view reason) {
   finished_ = true;
+  EndAdmission();
   give_up_timer_.cancel();
   step_timer_.cancel();
   CancelAttempts();
@@ -580,6 +684,7 @@
 void Exchange::Abandon() {
   if (finished_) return;
   finished_ = true;
+  EndAdmission();
   give_up_timer_.cancel();
   step_timer_.cancel();
   CancelAttempts();
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -74,6 +74,14 @@
 
   void Route();
   void ArmGiveUp();
+  // Asks whether the content may run, which counts it as running.
+  // @return whether it may now; otherwise it waits or was refused
+  bool Admit();
+  // Ends the admission of a run that showed nothing of its content.
+  void EndAdmission();
+  // Asks the server of a run without an answer whether it has ended, judges the
+  // content by that, and goes on with `then`.
+  void JudgeLoss(const ServerRecord& server, std::function<void()> then);
   void Ask(Purpose purpose);
   // Asks servers farther away, besides the candidates asked so far.
   // @return whether there are any that are worth asking
@@ -83,6 +91,7 @@
   std::vector<Candidate> NotAsked(Reach reach) const;
   void AskCandidates(std::size_t first, Duration limit);
   void OnAskLimit();
+  void AskAgainAfter(Duration delay);
   std::vector<Candidate> Eligible() const;
   void OnReply(std::size_t round, std::size_t index, const LoadReply& reply);
   void Place(Purpose purpose);
@@ -123,6 +132,9 @@
   std::shared_ptr<const RouteTable> routes_;
   const TrafficRoute* route_ = nullptr;
   ServiceName service_;
+  ContentDigest digest_ = 0;
+  bool admitted_ = false;    // Counted as running by `CrashSuspects`.
+  bool runs_alone_ = false;  // Only on a server that runs nothing else.
   TimePoint give_up_at_;
   boost::asio::steady_timer give_up_timer_;
   boost::asio::steady_timer step_timer_;
--- a/heatherlatch/traffic/load_asker.cc
+++ b/heatherlatch/traffic/load_asker.cc
@@ -16,7 +16,20 @@
 
 void LoadAsker::Ask(const ServerRecord& server,
                     std::function<void(LoadReply)> done) {
-  const TimePoint now = SteadyClock::now();
+  AskOver(
+      context_->connections.Take(server.endpoint, false, SteadyClock::now()),
+      server, std::move(done));
+}
+
+void LoadAsker::AskAnew(const ServerRecord& server,
+                        std::function<void(LoadReply)> done) {
+  AskOver(ClientConnection::Open(context_->io, server.endpoint), server,
+          std::move(done));
+}
+
+void LoadAsker::AskOver(std::shared_ptr<ClientConnection> connection,
+                        const ServerRecord& server,
+                        std::function<void(LoadReply)> done) {
   std::string path = "/";
   if (context_->routes) {
     const auto traits = context_->routes->services.find(server.service);
@@ -26,8 +39,7 @@
   }
   const auto question = open_.insert(
       open_.end(),
-      {server, context_->connections.Take(server.endpoint, false, now),
-       std::move(done), now});
+      {server, std::move(connection), std::move(done), SteadyClock::now()});
   context_->metrics.Count("probes", "sent");
   question->connection->Call(
       wire::HealthRequest(ToString(server.endpoint), path), false,
@@ -52,7 +64,9 @@
   const auto* answer = std::get_if<ServerAnswer>(&result);
   if (answer == nullptr) {
     context_->observations.OnFailure(name, now);
-    return {};
+    const auto* not_sent = std::get_if<NotSent>(&result);
+    const bool gone = not_sent != nullptr && not_sent->refused;
+    return {gone ? Health::kGone : Health::kIll, std::nullopt, false};
   }
   const unsigned status = answer->message.result_int();
   const auto fields = wire::ReadServerAnswer(status, answer->message);
--- a/heatherlatch/traffic/load_asker.h
+++ b/heatherlatch/traffic/load_asker.h
@@ -21,6 +21,7 @@
   kWell,
   kIll,          // It answered that it is ill, or not at all.
   kOtherServer,  // Another server has the address now.
+  kGone,         // Nothing listens at its address.
 };
 
 struct LoadReply {
@@ -35,6 +36,9 @@
 
   // @param done  called once, with kIll where no answer comes
   void Ask(const ServerRecord& server, std::function<void(LoadReply)> done);
+  // As `Ask`, over a new connection, so that a server that has ended is told
+  // from one that only closed its connections.
+  void AskAnew(const ServerRecord& server, std::function<void(LoadReply)> done);
 
   // Gives up the questions that have been open for too long.
   void Sweep(TimePoint now);
@@ -48,6 +52,8 @@
   };
   using Questions = std::list<Question>;
 
+  void AskOver(std::shared_ptr<ClientConnection> connection,
+               const ServerRecord& server, std::function<void(LoadReply)> done);
   void OnResult(Questions::iterator question, const CallResult& result);
   LoadReply ReadReply(const Question& question, const CallResult& result);
 
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -255,6 +255,7 @@
 Result<void> PublishedFeed::OnPeerAnswer(const std::string& body) {
   BOOST_LEAF_AUTO(answer, DecodeFeedAnswer(body));
   const TimePoint now = SteadyClock::now();
+  Learn(answer.suspects);
   if (answer.store_was_away) away_until_ = now + kListedAgainWithin;
   const bool has_news = !answer.page.items.empty();
   Merge(answer.page);
@@ -343,6 +344,7 @@
   answer.age = std::chrono::duration_cast<milliseconds>(Age(now));
   answer.hops = hops_;
   answer.store_was_away = StoreWasAway(now);
+  answer.suspects = suspects_.Recent(now);
   return answer;
 }
 
@@ -353,6 +355,7 @@
         BOOST_LEAF_AUTO(asked, DecodeFeedQuestion(question));
         const TimePoint now = SteadyClock::now();
         choice_.OnAskedBy(asked.asker, now);
+        Learn(asked.suspects);
         const bool waits = asked.wait > milliseconds(0) && !lost_ &&
                            asked.after >= items_.revision();
         if (!waits) {
@@ -373,6 +376,50 @@
       });
 }
 
+void PublishedFeed::Share(const SuspectNotice& notice) {
+  if (!suspects_.Add(notice, SteadyClock::now())) return;
+  AnswerWaiting(true);
+  for (const Endpoint& reader : context_->settings.seeds) {
+    if (reader != context_->settings.peer_listen) TellReader(reader, notice);
+  }
+}
+
+void PublishedFeed::TellReader(const Endpoint& reader,
+                               const SuspectNotice& notice) {
+  FeedQuestion question;
+  question.asker = context_->settings.peer_listen;
+  question.after = items_.revision();
+  question.suspects = {notice};
+  const auto connection = ClientConnection::Open(context_->io, reader);
+  connection->Call(
+      PeerRequest(reader, question), false,
+      [this, reader](const CallResult& result) {
+        if (std::holds_alternative<ServerAnswer>(result)) return;
+        context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
+      });
+  const auto limit =
+      std::make_shared<boost::asio::steady_timer>(*context_->io, kPeerLimit);
+  limit->async_wait([connection, limit](const boost::system::error_code&) {
+    connection->Cancel();
+  });
+}
+
+void PublishedFeed::Learn(const std::vector<SuspectNotice>& notices) {
+  const TimePoint now = SteadyClock::now();
+  bool news = false;
+  for (const SuspectNotice& notice : notices) {
+    if (!suspects_.Add(notice, now)) continue;
+    news = true;
+    context_->suspects.Learn(notice, now);
+    context_->log.Write("suspect-learnt",
+                        {{"service", notice.service.str()},
+                         {"digest", std::to_string(notice.digest)},
+                         {"crashes", static_cast<double>(notice.crashes)},
+                         {"age_ms", ToMilliseconds(notice.age)}});
+  }
+  if (news) AnswerWaiting(true);
+}
+
 void PublishedFeed::AnswerWaiting(bool all) {
   const TimePoint now = SteadyClock::now();
   for (auto it = waiting_.begin(); it != waiting_.end();) {
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -19,6 +19,7 @@
 
 #include "heatherlatch/relay/peer_messages.h"
 #include "heatherlatch/relay/published_items.h"
+#include "heatherlatch/relay/shared_suspects.h"
 #include "heatherlatch/relay/source_choice.h"
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/plain_server.h"
@@ -47,6 +48,9 @@
   // Answers another host, at once or when something changes.
   void AnswerPeer(const std::string& question, PlainServer::Respond respond);
 
+  // Tells other hosts of a content that crashed a server.
+  void Share(const SuspectNotice& notice);
+
   // @return whether the store is out of reach, or was until so lately that its
   //     servers may not all be listed again
   bool StoreWasAway(TimePoint now) const;
@@ -78,6 +82,8 @@
   void Merge(const FeedPage& page);
   void After(Duration delay);
 
+  void TellReader(const Endpoint& reader, const SuspectNotice& notice);
+  void Learn(const std::vector<SuspectNotice>& notices);
   FeedAnswer Answer(std::uint64_t after) const;
   void AnswerWaiting(bool all);
   void ArmWaiting();
@@ -87,6 +93,7 @@
   OnChanged on_changed_;
   SourceChoice choice_;
   PublishedItems items_;
+  SharedSuspects suspects_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer waiting_timer_;
   std::list<WaitingPeer> waiting_;
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -18,6 +18,15 @@
 // there are.
 constexpr double kRetryReserve = 1;
 
+// What is kept of contents that crash servers. A server that was lost may have
+// crashed for a reason of its own while others ran on it, so one crash more
+// than the first two is needed before a content is refused. Source: the users'
+// bound of three crashes; their callers send such a request again within a
+// minute.
+constexpr Duration kSuspectMemory = std::chrono::minutes(1);
+constexpr int kCrashesUntilRefused = 3;
+constexpr std::size_t kMaxSuspects = 10'000;
+
 }  // namespace
 
 TrafficContext::TrafficContext(boost::asio::io_context* io_context,
@@ -26,6 +35,8 @@
     : io(io_context),
       settings(std::move(host_settings)),
       connections(io_context),
+      suspects(CrashSuspectsOptions{kSuspectMemory, kCrashesUntilRefused,
+                                    kMaxSuspects}),
       log(log_descriptor, kMaxWaitingLogBytes),
       rng(seed),
       first_configuration_(*io_context, settings.first_wait) {}
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 
+#include "heatherlatch/admission/crash_suspects.h"
 #include "heatherlatch/admission/token_budget.h"
 #include "heatherlatch/fleet/server_directory.h"
 #include "heatherlatch/fleet/server_observations.h"
@@ -50,6 +51,9 @@
   ServerObservations observations;
   ServerConnections connections;
   RouteStatistics statistics;
+  CrashSuspects suspects;
+  // Tells other hosts of a content that crashed a server.
+  std::function<void(const SuspectNotice&)> share_suspect;
   DecisionLog log;
   TrafficMetrics metrics;
   std::mt19937_64 rng;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -62,7 +62,11 @@
             }),
       signals_(*io, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(*io),
-      suspended_(TotalSuspension()) {}
+      suspended_(TotalSuspension()) {
+  context_.share_suspect = [this](const SuspectNotice& notice) {
+    feed_.Share(notice);
+  };
+}
 
 Result<void> TrafficHost::Start() {
   BOOST_LEAF_CHECK(ListenForCallers());
@@ -148,6 +152,7 @@
   context_.connections.CloseIdle(now);
   context_.directory.Expire(now);
   context_.observations.Forget(kServerMemory, now);
+  context_.suspects.Expire(now);
   for (auto it = callers_.begin(); it != callers_.end();) {
     const std::shared_ptr<CallerConnection> caller = it->lock();
     if (caller) caller->CheckTimes(now);
--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -45,6 +45,8 @@
       {"shed-by-server", "the servers that it was sent to refused it"},
       {"no-route", "the configuration of the host has no route for it"},
       {"configuration-unavailable", "the host knew no configuration yet"},
+      {"suspected-of-crashing-servers",
+       "servers crashed while they ran this content"},
   };
   const auto found = causes.find(reason);
   const std::string cause = found == causes.end() ? reason : found->second;
@@ -88,7 +90,8 @@
   static const std::set<std::string> changes = {
       "configuration",  "server-draining",     "server-gone",
       "server-missing", "zone-out-of-service", "zone-in-service",
-      "store-lost",     "store-regained",      "started"};
+      "store-lost",     "store-regained",      "started",
+      "server-crashed", "suspect-learnt"};
   std::vector<LogLine> context;
   if (request_lines.empty()) return context;
   std::set<std::string> servers;
--- a/programs/explain/explanation_test.cc
+++ b/programs/explain/explanation_test.cc
@@ -15,6 +15,7 @@
   2.2 host-1 {"at_ms":20200,"event":"server-gone","server":"i-9","revision":8}
   2.2 host-2 {"at_ms":20200,"event":"server-gone","server":"i-1","revision":7}
   3.0 host-2 {"at_ms":30000,"event":"ended","request":"b","outcome":"refused","reason":"queue-full","status":503,"total_ms":640}
+  3.0 host-2 {"at_ms":30000,"event":"ended","request":"f","outcome":"refused","reason":"suspected-of-crashing-servers","status":503,"total_ms":1}
   3.0 host-2 {"at_ms":30000,"event":"caller-gone","request":"c","waited_ms":5}
   3.0 host-2 {"at_ms":30000,"event":"ended","request":"d","outcome":"answered","reason":"i-2","status":504,"total_ms":2000}
   3.0 host-2 {"at_ms":30000,"event":"placed","request":"e","server":"i-2"}
@@ -40,6 +41,9 @@
   CHECK(CauseOf("b") ==
         "Refused after 640 ms, not run: no server that it may use had room in "
         "time.");
+  CHECK(CauseOf("f") ==
+        "Refused after 1 ms, not run: servers crashed while they ran this "
+        "content.");
   CHECK(CauseOf("c") == "The caller left before its answer.");
   CHECK(CauseOf("d") ==
         "Server i-2 answered it with status 504 after 2000 ms.");
