--- a/heatherlatch/entry/dispatcher.cc
+++ b/heatherlatch/entry/dispatcher.cc
@@ -4,8 +4,8 @@
 #include <thread>
 #include <utility>
 
-#include "heatherlatch/entry/caller_request.h"
 #include "heatherlatch/admission/content_digest.h"
+#include "heatherlatch/entry/caller_request.h"
 
 namespace heatherlatch {
 namespace {
