Do not refuse for a slow spell, and let downloads leave a region that cannot serve

Two servers were left in the region; a neighbour slowed a full one sevenfold, and its queue was reckoned at that speed (17 to 63 s) although such spells last half a second. And downloads never asked another region, even where their own could not answer at all.

Change: Decide refuses for want of time only with fewer than four service times left; before that the request waits, at most two targets. NextReach asks other regions for a download whose region could not answer it in its time.

Ruled out: the store's outage before (all servers were known again at second 28), cold servers (none in the candidates).

--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -26,9 +26,15 @@
   return state.service_time + kRoundTripInRegion <= TargetLeft(state);
 }
 
+// Servers are slow for half a second at a time, and queues end: that the best
+// one cannot answer in time now does not say that none will.
+bool LoadMayChangeInTime(const PlacementState& state) {
+  return state.time_left > kLateServiceTimes * state.service_time;
+}
+
 bool MayWaitLate(const PlacementState& state) {
   return state.waited < kLateTargets * state.latency_target &&
-         state.time_left > kLateServiceTimes * state.service_time;
+         LoadMayChangeInTime(state);
 }
 
 }  // namespace
@@ -40,26 +46,28 @@
 PatienceVerdict Decide(const std::optional<Choice>& choice,
                        const PlacementState& state) {
   if (!choice) return Refuse{NotRunReason::kNoServer, kRetryAfter};
-  if (choice->expected >= state.time_left) {
+  const bool in_time = choice->expected < state.time_left;
+  if (!in_time && !LoadMayChangeInTime(state)) {
     return Refuse{NotRunReason::kDeadlineTooShort, kRetryAfter};
   }
   const Duration target_left = TargetLeft(state);
-  if (choice->expected <= target_left) return SendNow{};
   const bool is_free = choice->occupancy != Occupancy::kWaiting;
-  if (is_free && choice->expected < kNearMiss * target_left) return SendNow{};
+  if (in_time && choice->expected <= target_left) return SendNow{};
+  if (in_time && is_free && choice->expected < kNearMiss * target_left) {
+    return SendNow{};
+  }
   if (MayStillMeetTarget(state)) return AskAgain{kAskAgainInterval};
   const bool has_room =
       is_free && choice->expected < kNearMiss * state.service_time;
-  if (has_room) return SendNow{};
+  if (in_time && has_room) return SendNow{};
   if (MayWaitLate(state)) return AskAgain{kAskAgainWhenLate};
+  if (!in_time) return Refuse{NotRunReason::kDeadlineTooShort, kRetryAfter};
   if (is_free) return SendNow{};
   return Refuse{NotRunReason::kQueueFull, kRetryAfter};
 }
 
 PatienceVerdict DecideWithoutIdle(const PlacementState& state) {
-  if (state.time_left > kLateServiceTimes * state.service_time) {
-    return AskAgain{kAskAgainInterval};
-  }
+  if (LoadMayChangeInTime(state)) return AskAgain{kAskAgainInterval};
   return Refuse{NotRunReason::kSuspectedOfCrashingServers, kRetryAfter};
 }
 
@@ -73,6 +81,8 @@
   if (in_time) return std::nullopt;
   if (reach == Reach::kNearest) return Reach::kRegion;
   if (!choice) return Reach::kEverywhere;
+  // What no server of the own region can answer at all is better served dearly.
+  if (choice->expected >= state.time_left) return Reach::kEverywhere;
   if (work.answer_bytes > kMostBytesBetweenRegions) return std::nullopt;
   // One round of questions, and the way there and back.
   const bool may_meet_target =
--- a/heatherlatch/steering/patience.h
+++ b/heatherlatch/steering/patience.h
@@ -6,7 +6,8 @@
 // the host for a better server, since what waits in a server's queue cannot
 // move when the server turns slow. One that can no longer meet it waits for a
 // server with room, so that it delays none that can, and is never put into a
-// server's queue. What is known to fail is refused at once.
+// server's queue. What is known to fail is refused at once; that servers are
+// slow or full now is no such knowledge while several service times are left.
 //
 // Thread safety: pure functions. Reads no clock.
 #ifndef HEATHERLATCH_STEERING_PATIENCE_H_
@@ -83,8 +84,9 @@
 // Load this answers: a zone or region whose slots are taken, whose servers are
 // slow or do not answer, while another has room. Another zone costs little, so
 // it is asked as soon as the target would be missed. Small requests go to other
-// regions where they can still meet their latency target; downloads stay, since
-// traffic between regions costs more than they are worth.
+// regions where they can still meet their latency target; downloads only where
+// the own region could not answer them in their time at all, since traffic
+// between regions costs more than they are worth.
 // @param choice  the best candidate so far; empty: there is none
 // @param reach   how far candidates have been asked
 // @return how far to ask next; nothing: what is known decides
