Refuse at once where every asked server refuses the connection

What is known to fail must not be held.

Change: the answer to a question tells that nothing listens; such a candidate gets no work, and where all that were asked are gone, in the region and in others, the request is refused as connect-failed.

--- a/heatherlatch/steering/patience.cc
+++ b/heatherlatch/steering/patience.cc
@@ -45,7 +45,11 @@
 
 PatienceVerdict Decide(const std::optional<Choice>& choice,
                        const PlacementState& state) {
-  if (!choice) return Refuse{NotRunReason::kNoServer, kRetryAfter};
+  if (!choice) {
+    const NotRunReason reason = state.unreachable ? NotRunReason::kConnectFailed
+                                                  : NotRunReason::kNoServer;
+    return Refuse{reason, kRetryAfter};
+  }
   const bool in_time = choice->expected < state.time_left;
   if (!in_time && !LoadMayChangeInTime(state)) {
     return Refuse{NotRunReason::kDeadlineTooShort, kRetryAfter};
--- a/heatherlatch/steering/patience.h
+++ b/heatherlatch/steering/patience.h
@@ -38,6 +38,8 @@
   Duration latency_target{};  // From the caller's first send.
   Duration time_left{};       // Until the caller, or the route, gives up.
   Duration service_time{};    // On an idle server at its usual speed.
+  // Every server that was asked refused the connection.
+  bool unreachable = false;
 };
 
 // Between two rounds of questions of one request, and of one that is late.
--- a/heatherlatch/steering/patience_test.cc
+++ b/heatherlatch/steering/patience_test.cc
@@ -56,6 +56,14 @@
   CHECK(NextReach(late, state, download, Reach::kRegion) == std::nullopt);
 }
 
+TEST_CASE("a request whose servers refuse the connection is refused at once") {
+  PlacementState state = State(0, 3000);
+  state.unreachable = true;
+  const PatienceVerdict verdict = Decide(std::nullopt, state);
+  REQUIRE(std::holds_alternative<Refuse>(verdict));
+  CHECK(std::get<Refuse>(verdict).reason == NotRunReason::kConnectFailed);
+}
+
 TEST_CASE("a request that meets its target is sent, also into a queue") {
   CHECK(Describe(Decide(MakeChoice(284, Occupancy::kWaiting),
                         State(0, 3000))) == "send");
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -142,7 +142,7 @@
   std::pair<bool, Duration> best_rank;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& candidate = candidates[i];
-    if (IsColdAndBusy(candidate)) continue;
+    if (candidate.gone || IsColdAndBusy(candidate)) continue;
     const bool is_last = candidate.failed_lately || !candidate.reading;
     const std::pair<bool, Duration> rank(is_last,
                                          ExpectedCost(candidate, work));
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -36,6 +36,7 @@
   bool failed_lately = false;
   bool connected = false;              // A kept connection to it is idle.
   bool reply_pending = false;          // It was asked and may still answer.
+  bool gone = false;                   // Nothing listens at its address.
   std::optional<LoadReading> reading;  // Absent: it has not answered.
   int sent_since_reading = 0;          // By this host, and not in the reading.
 };
@@ -134,8 +135,8 @@
                const ExpectedWork& work);
 
 // @return the candidate with the lowest cost; those that failed lately or did
-//     not answer come last; nothing where there is no candidate, or only cold
-//     ones that already have work
+//     not answer come last; nothing where there is no candidate, or only such
+//     that are gone, or cold with work already
 std::optional<Choice> ChooseServer(const std::vector<Candidate>& candidates,
                                    const ExpectedWork& work);
 
--- a/heatherlatch/steering/steering_test.cc
+++ b/heatherlatch/steering/steering_test.cc
@@ -96,6 +96,13 @@
   CHECK_FALSE(IsIdle(candidate));
 }
 
+TEST_CASE("a server at whose address nothing listens gets no work") {
+  Candidate gone = MakeCandidate("gone", Distance::kSameZone, {});
+  gone.reading.reset();
+  gone.gone = true;
+  CHECK(Chosen({gone}, SmallWork()) == "none");
+}
+
 TEST_CASE("a server in cold start gets work only while it has none",
           "[promise-02]") {
   Candidate idle = MakeCandidate("cold", Distance::kSameZone, {0, 0, 3, 1});
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -332,6 +332,7 @@
     candidate.reading = LoadReading{0, 0, candidate.server.slots, 1};
   }
   if (reply.health != Health::kWell) candidate.failed_lately = true;
+  candidate.gone = reply.health == Health::kGone;
   const bool settled =
       --replies_missing_ == 0 ||
       (!runs_alone_ &&
@@ -357,6 +358,10 @@
                                             nullptr;
                                    }),
                     candidates_.end());
+  const bool unreachable =
+      !candidates_.empty() &&
+      std::all_of(candidates_.begin(), candidates_.end(),
+                  [](const Candidate& candidate) { return candidate.gone; });
   if (runs_alone_) {
     candidates_.erase(std::remove_if(candidates_.begin(), candidates_.end(),
                                      [](const Candidate& candidate) {
@@ -371,10 +376,11 @@
     return;
   }
   const PlacementState state{Waited(), route_->latency_target, TimeLeft(),
-                             work.service_time};
+                             work.service_time, unreachable};
   if (Widen(choice, state, work)) return;
-  const PatienceVerdict verdict =
-      runs_alone_ && !choice ? DecideWithoutIdle(state) : Decide(choice, state);
+  const PatienceVerdict verdict = runs_alone_ && !choice && !unreachable
+                                      ? DecideWithoutIdle(state)
+                                      : Decide(choice, state);
   if (std::holds_alternative<SendNow>(verdict)) {
     Send(candidates_[choice->index], choice->expected);
   } else if (const auto* again = std::get_if<AskAgain>(&verdict)) {
