Share the random load of the steering tests, and use one predicate for regions

Found on reading the whole change again; behaviour as before. - Three tests drew gaps and work times with the same lines: now DrawGap and DrawWork in heatherlatch/testing/random_load.h.

Seen and left: relay/peer_messages and peer/internal/message_fields each encode a SuspectNotice (two protocols, the second needs websocketpp, which the host's build does not have); Exchange reckons the expected work for each answer of a round; Eligible copies every server of a service for each round of questions.

--- a/heatherlatch/steering/asking_test.cc
+++ b/heatherlatch/steering/asking_test.cc
@@ -2,13 +2,13 @@
 // what callers get.
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cmath>
 #include <iostream>
 #include <map>
 #include <memory>
 
 #include "heatherlatch/steering/steering.h"
 #include "heatherlatch/testing/event_loop.h"
+#include "heatherlatch/testing/random_load.h"
 
 namespace heatherlatch {
 namespace {
@@ -72,9 +72,7 @@
     if (at >= end_) return;
     loop_.At(at, [this] {
       Ask();
-      const std::chrono::duration<double> gap(
-          std::exponential_distribution<double>(kRequestsPerSecond)(rng_));
-      ScheduleArrival(loop_.Now() + std::chrono::duration_cast<Duration>(gap));
+      ScheduleArrival(loop_.Now() + DrawGap(kRequestsPerSecond, &rng_));
     });
   }
 
@@ -135,13 +133,11 @@
     const auto choice = ChooseServer(question->candidates, Work());
     REQUIRE(choice);
     const Candidate& chosen = question->candidates[choice->index];
-    std::lognormal_distribution<double> work(
-        std::log(kWorkMs) - kSpread * kSpread / 2, kSpread);
     const double slowness =
         chosen.reading ? chosen.reading->slowness : kSlowFactor;
     const Duration total = loop_.Now() - question->arrival +
                            kRoundTripBetweenRegions + kCallerRoundTrip +
-                           FromMilliseconds(work(rng_) * slowness);
+                           Scale(DrawWork(kWorkMs, kSpread, &rng_), slowness);
     if (total <= kTarget) ++outcomes_.in_target;
   }
 
--- a/heatherlatch/steering/burst_test.cc
+++ b/heatherlatch/steering/burst_test.cc
@@ -1,12 +1,12 @@
 // Plays bursts and slowed servers in virtual time, and checks what callers get.
 #include <catch2/catch.hpp>
-#include <cmath>
 #include <functional>
 #include <iostream>
 #include <queue>
 
 #include "heatherlatch/steering/patience.h"
 #include "heatherlatch/testing/event_loop.h"
+#include "heatherlatch/testing/random_load.h"
 
 namespace heatherlatch {
 namespace {
@@ -79,10 +79,7 @@
       const Duration since = loop_.Now() - kStart;
       const bool burst = since > kLength / 3 && since < kLength * 2 / 3;
       const double rate = load.per_second * (burst ? load.burst_factor : 1);
-      const double gap = std::exponential_distribution<double>(rate)(rng_);
-      ScheduleArrival(loop_.Now() + std::chrono::duration_cast<Duration>(
-                                        std::chrono::duration<double>(gap)),
-                      load);
+      ScheduleArrival(loop_.Now() + DrawGap(rate, &rng_), load);
     });
   }
 
@@ -134,10 +131,8 @@
 
   void Run(Server* server, TimePoint arrival) {
     ++server->running;
-    const double sigma = kSpread;
-    std::lognormal_distribution<double> work(
-        std::log(kWorkMs) - sigma * sigma / 2, sigma);
-    const Duration time = FromMilliseconds(work(rng_) * server->slowness);
+    const Duration time =
+        Scale(DrawWork(kWorkMs, kSpread, &rng_), server->slowness);
     loop_.After(time, [this, server, arrival] { End(server, arrival); });
   }
 
--- a/heatherlatch/steering/shed_test.cc
+++ b/heatherlatch/steering/shed_test.cc
@@ -8,6 +8,7 @@
 #include "heatherlatch/admission/token_budget.h"
 #include "heatherlatch/steering/patience.h"
 #include "heatherlatch/testing/event_loop.h"
+#include "heatherlatch/testing/random_load.h"
 
 namespace heatherlatch {
 namespace {
@@ -43,9 +44,7 @@
     TimePoint at = loop_.Now();
     for (int i = 0; i < kRequests; ++i) {
       loop_.At(at, [this] { Arrive(loop_.Now(), 0); });
-      const std::chrono::duration<double> gap(
-          std::exponential_distribution<double>(kRequestsPerSecond)(rng_));
-      at += std::chrono::duration_cast<Duration>(gap);
+      at += DrawGap(kRequestsPerSecond, &rng_);
     }
     loop_.RunUntil(at + milliseconds(60'000));
     return outcomes_;
@@ -69,10 +68,9 @@
   }
 
   void Run(TimePoint first) {
-    std::lognormal_distribution<double> work(
-        std::log(kWorkMs) - kSpread * kSpread / 2, kSpread);
     const Duration total = loop_.Now() - first + kCallerRoundTrip +
-                           kRoundTripInRegion + FromMilliseconds(work(rng_));
+                           kRoundTripInRegion +
+                           DrawWork(kWorkMs, kSpread, &rng_);
     ++outcomes_.served;
     if (total <= kTarget) ++outcomes_.in_target;
   }
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -57,10 +57,6 @@
          CrossingCost(candidate.distance, work);
 }
 
-bool IsInOtherRegion(const Candidate& candidate) {
-  return candidate.distance == Distance::kOtherRegion;
-}
-
 auto PlaceRank(const Candidate& candidate) {
   return std::make_tuple(IsInOtherRegion(candidate), candidate.failed_lately,
                          candidate.distance);
@@ -84,6 +80,10 @@
 
 }  // namespace
 
+bool IsInOtherRegion(const Candidate& candidate) {
+  return candidate.distance == Distance::kOtherRegion;
+}
+
 bool IsIdle(const Candidate& candidate) {
   return candidate.reading && Outstanding(candidate) == 0;
 }
@@ -122,7 +122,7 @@
   std::shuffle(all.begin(), all.end(), *rng);
   SortByPlace(all.begin(), all.end());
   if (all.empty()) return all;
-  const bool in_region = all.front().distance != Distance::kOtherRegion;
+  const bool in_region = !IsInOtherRegion(all.front());
   if (in_region) {
     all.erase(std::find_if(all.begin(), all.end(), IsInOtherRegion), all.end());
   }
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -49,6 +49,9 @@
   double nearly_full_factor = 1;  // How much longer it takes there.
 };
 
+// @return whether sending to the candidate crosses regions
+bool IsInOtherRegion(const Candidate& candidate);
+
 // How much of a server is taken once a request is sent to it.
 enum class Occupancy {
   kRoomy,
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/exchange.h"
 
 #include <algorithm>
+#include <boost/range/algorithm_ext/erase.hpp>
 #include <utility>
 
 #include "heatherlatch/admission/content_digest.h"
@@ -226,7 +227,7 @@
     Place(purpose);
     return;
   }
-  const bool far = candidates_.front().distance == Distance::kOtherRegion;
+  const bool far = IsInOtherRegion(candidates_.front());
   if (far) reach_ = Reach::kEverywhere;
   AskCandidates(0, far ? kAskLimitBetweenRegions : kAskLimitInRegion);
 }
@@ -254,8 +255,7 @@
   std::vector<Candidate> found;
   bool other_zone = false;
   for (Candidate& candidate : Eligible()) {
-    const bool in_region = candidate.distance != Distance::kOtherRegion;
-    if (in_region != (reach == Reach::kRegion)) continue;
+    if (IsInOtherRegion(candidate) == (reach == Reach::kRegion)) continue;
     const auto is_same = [&](const Candidate& asked) {
       return asked.server.name == candidate.server.name;
     };
@@ -264,12 +264,9 @@
     found.push_back(std::move(candidate));
   }
   if (other_zone) {
-    found.erase(std::remove_if(found.begin(), found.end(),
-                               [](const Candidate& candidate) {
-                                 return candidate.distance ==
-                                        Distance::kSameZone;
-                               }),
-                found.end());
+    boost::remove_erase_if(found, [](const Candidate& candidate) {
+      return candidate.distance == Distance::kSameZone;
+    });
   }
   return found;
 }
@@ -310,8 +307,7 @@
   // Where nothing answers at all, the way to this host may be at fault.
   if (std::any_of(candidates_.begin(), candidates_.end(), answered)) {
     for (const Candidate& candidate : candidates_) {
-      const bool in_region = candidate.distance != Distance::kOtherRegion;
-      if (!candidate.reply_pending || !in_region) continue;
+      if (!candidate.reply_pending || IsInOtherRegion(candidate)) continue;
       context_->observations.OnFailure(candidate.server.name,
                                        SteadyClock::now());
     }
@@ -351,23 +347,18 @@
         context_->observations.SentSinceReading(candidate.server.name);
   }
   // Servers that left, and zones taken out, while the questions were open.
-  candidates_.erase(std::remove_if(candidates_.begin(), candidates_.end(),
-                                   [&](const Candidate& candidate) {
-                                     return context_->directory.FindUsable(
-                                                candidate.server.name, now) ==
-                                            nullptr;
-                                   }),
-                    candidates_.end());
+  boost::remove_erase_if(candidates_, [&](const Candidate& candidate) {
+    return context_->directory.FindUsable(candidate.server.name, now) ==
+           nullptr;
+  });
   const bool unreachable =
       !candidates_.empty() &&
       std::all_of(candidates_.begin(), candidates_.end(),
                   [](const Candidate& candidate) { return candidate.gone; });
   if (runs_alone_) {
-    candidates_.erase(std::remove_if(candidates_.begin(), candidates_.end(),
-                                     [](const Candidate& candidate) {
-                                       return !IsIdle(candidate);
-                                     }),
-                      candidates_.end());
+    boost::remove_erase_if(candidates_, [](const Candidate& candidate) {
+      return !IsIdle(candidate);
+    });
   }
   const ExpectedWork work = context_->statistics.Expect(*route_);
   const std::optional<Choice> choice = ChooseServer(candidates_, work);
