Log what a refusal by the configuration was based on

Callers of the grown sites got 404 for proper requests. The line `ended` of such a response had neither the request's authority and target nor the version, age and source of the route table, so an old table, an odd target and a missing route could not be told apart.

The line now has `authority`, `target`, `configuration`, `age_ms`, `source` and `hops` for each 4xx that Exchange makes itself and for each 503 because of the configuration (none held, or a route without services). The texts are bounded and printable. The lines `configuration` and `configuration-refused` name the source and hops, and heatherlatch-explain states them. The metric heatherlatch_responses_total counts the responses to callers by origin and status, those of rejected requests included.

No decision changes: PublishedFeed keeps the time of the last confirmation, together with its origin, in TrafficContext::table_confirmation instead of in a member.

--- a/heatherlatch/relay/source_choice.cc
+++ b/heatherlatch/relay/source_choice.cc
@@ -20,6 +20,11 @@
 
 }  // namespace
 
+std::string ToString(const FeedSource& source) {
+  const auto* peer = std::get_if<PeerSource>(&source);
+  return peer == nullptr ? "store" : ToString(peer->endpoint);
+}
+
 SourceChoice::SourceChoice(Endpoint self, const std::vector<Endpoint>& readers,
                            DeploymentStart start)
     : self_(std::move(self)),
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -32,6 +33,15 @@
 };
 using FeedSource = std::variant<StoreSource, PeerSource>;
 
+// @return "store", or the endpoint of the peer
+std::string ToString(const FeedSource& source);
+
+// Where a host received published items from.
+struct ItemOrigin {
+  FeedSource source;
+  int hops = 0;  // Hosts between this one and the store.
+};
+
 // The next source to query, and the delay before the request.
 struct FeedStep {
   FeedSource source;
--- /dev/null
+++ b/heatherlatch/routing/table_confirmation.h
@@ -0,0 +1,28 @@
+// What a host knows about the route table that it holds.
+//
+// A table that was in force when it was received may have been replaced since.
+// A host that refuses a request because of what the table lacks bases that on
+// the last confirmation by the store.
+//
+// Thread safety: value type.
+#ifndef HEATHERLATCH_ROUTING_TABLE_CONFIRMATION_H_
+#define HEATHERLATCH_ROUTING_TABLE_CONFIRMATION_H_
+
+#include <optional>
+
+#include "heatherlatch/base/time.h"
+#include "heatherlatch/relay/source_choice.h"
+
+namespace heatherlatch {
+
+struct TableConfirmation {
+  // When the store last confirmed the table; earlier where a peer passed the
+  // confirmation on. Absent: not since the start or the last suspension.
+  std::optional<TimePoint> confirmed_at;
+  // Where that confirmation came from.
+  ItemOrigin origin;
+};
+
+}  // namespace heatherlatch
+
+#endif  // HEATHERLATCH_ROUTING_TABLE_CONFIRMATION_H_
--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -138,6 +138,7 @@
       status, wire::HostResponseFields(fields.request_id, std::nullopt),
       problem + "\n", std::nullopt};
   pending_.push_back(std::move(pending));
+  context_->metrics.CountResponse(ResponseOrigin::kHost, status);
   WriteResponses();
 }
 
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -89,25 +89,26 @@
 void Exchange::Route() {
   routes_ = context_->routes;
   if (!routes_) {
-    RefuseAsNotRun(NotRunReason::kConfigurationUnavailable, kRetryAfter);
+    RefuseByConfiguration(kServiceUnavailable,
+                          NotRunReason::kConfigurationUnavailable, kRetryAfter);
     return;
   }
   if (request_.request_id.empty()) {
-    RespondLocally(kBadRequest, "refused",
-                   ToString(NotRunReason::kMalformedRequest), std::nullopt);
+    RefuseByConfiguration(kBadRequest, NotRunReason::kMalformedRequest,
+                          std::nullopt);
     return;
   }
   route_ = routes_->Find(request_.authority, request_.target);
   if (route_ == nullptr) {
-    RespondLocally(kNotFound, "refused", ToString(NotRunReason::kNoRoute),
-                   std::nullopt);
+    RefuseByConfiguration(kNotFound, NotRunReason::kNoRoute, std::nullopt);
     return;
   }
   const double point =
       std::uniform_real_distribution<double>(0, 1)(context_->rng);
   const WeightedService* chosen = ChooseService(*route_, point);
   if (chosen == nullptr) {
-    RefuseAsNotRun(NotRunReason::kNoServer, kRetryAfter);
+    RefuseByConfiguration(kServiceUnavailable, NotRunReason::kNoServer,
+                          kRetryAfter);
     return;
   }
   service_ = chosen->service;
@@ -633,6 +634,7 @@
         attempt->slowdown, attempt->occupancy, relayed.body.size());
     context_->metrics.server_time.Observe(service_time);
   }
+  context_->metrics.CountResponse(ResponseOrigin::kServer, relayed.status);
   Finish(std::move(relayed), "answered", attempt->server.name.str());
 }
 
@@ -657,6 +659,14 @@
   RespondLocally(kServiceUnavailable, "refused", ToString(reason), retry_after);
 }
 
+void Exchange::RefuseByConfiguration(unsigned status, NotRunReason reason,
+                                     std::optional<Duration> retry_after) {
+  configuration_basis_.emplace(
+      request_.authority, request_.target, context_->routes.get(),
+      context_->table_confirmation, SteadyClock::now());
+  RespondLocally(status, "refused", ToString(reason), retry_after);
+}
+
 void Exchange::FailAsUnknown(unsigned status, UnknownReason reason) {
   RespondLocally(status, "unknown", ToString(reason), std::nullopt);
 }
@@ -668,6 +678,7 @@
   response.status = status;
   response.fields = wire::HostResponseFields(request_.request_id, retry_after);
   response.body = std::string(reason) + "\n";
+  context_->metrics.CountResponse(ResponseOrigin::kHost, status);
   Finish(std::move(response), outcome, reason);
 }
 
@@ -683,6 +694,8 @@
   context_->metrics.request_time.Observe(total);
   const std::string_view route_name =
       route_ == nullptr ? "" : route_->name.str().c_str();
+  const DecisionLog::Value absent = std::monostate();
+  const auto& basis = configuration_basis_;
   context_->log.Write("ended",
                       {{"request", request_.request_id},
                        {"route", route_name},
@@ -690,7 +703,13 @@
                        {"reason", reason},
                        {"status", static_cast<double>(response.status)},
                        {"sends", static_cast<double>(sends_)},
-                       {"total_ms", ToMilliseconds(total)}});
+                       {"total_ms", ToMilliseconds(total)},
+                       {"authority", basis ? basis->authority() : absent},
+                       {"target", basis ? basis->target() : absent},
+                       {"configuration", basis ? basis->version() : absent},
+                       {"age_ms", basis ? basis->age_ms() : absent},
+                       {"source", basis ? basis->source() : absent},
+                       {"hops", basis ? basis->hops() : absent}});
   const Done done = std::move(done_);
   if (done) done(std::move(response));
 }
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -27,6 +27,7 @@
 
 #include "heatherlatch/base/outcome.h"
 #include "heatherlatch/steering/placement_decision.h"
+#include "heatherlatch/traffic/configuration_basis.h"
 #include "heatherlatch/traffic/load_prober.h"
 #include "heatherlatch/traffic/traffic_context.h"
 
@@ -135,6 +136,9 @@
   // Ends the request as refused, or as unknown if it may have run.
   void RefuseOrFail(NotRunReason reason, Duration retry_after);
   void RefuseAsNotRun(NotRunReason reason, Duration retry_after);
+  // Refuses the request because of what the configuration says or lacks.
+  void RefuseByConfiguration(unsigned status, NotRunReason reason,
+                             std::optional<Duration> retry_after);
   void FailAsUnknown(unsigned status, UnknownReason reason);
   void RespondLocally(unsigned status, std::string_view outcome,
                       std::string_view reason,
@@ -174,6 +178,7 @@
   int deferrals_ = 0;         // Probe rounds after which it was not sent.
   bool may_have_run_ = false;
   bool finished_ = false;
+  std::optional<ConfigurationBasis> configuration_basis_;  // Of a refusal.
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -51,11 +51,6 @@
          body;
 }
 
-std::string Describe(const FeedSource& source) {
-  const auto* peer = std::get_if<PeerSource>(&source);
-  return peer == nullptr ? "store" : ToString(peer->endpoint);
-}
-
 }  // namespace
 
 PublishedFeed::PublishedFeed(TrafficContext* context, OnChanged on_changed)
@@ -83,7 +78,7 @@
 }
 
 void PublishedFeed::Revalidate() {
-  confirmed_at_.reset();
+  context_->table_confirmation.confirmed_at.reset();
   followed_peer_.reset();
   if (connection_) connection_->Cancel();
   connection_ = nullptr;
@@ -98,8 +93,9 @@
 }
 
 Duration PublishedFeed::Age(TimePoint now) const {
-  if (stale_ || !confirmed_at_) return kStaleAge;
-  return now - *confirmed_at_;
+  const auto& confirmed_at = context_->table_confirmation.confirmed_at;
+  if (stale_ || !confirmed_at) return kStaleAge;
+  return now - *confirmed_at;
 }
 
 void PublishedFeed::QueryAfter(Duration delay) {
@@ -230,7 +226,7 @@
   const TimePoint now = SteadyClock::now();
   hops_ = 0;
   if (has_complete_list_) {
-    Merge(ToFeedPage(page, false));
+    Merge(ToFeedPage(page, false), hops_);
     FinishSuccessfulQuery(
         now, page.items.empty() ? Duration::zero() : kChangeBatchDelay);
     return {};
@@ -249,7 +245,7 @@
   has_complete_list_ = true;
   const FeedPage complete_list = std::move(partial_list_);
   partial_list_ = {};
-  Merge(complete_list);
+  Merge(complete_list, hops_);
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
                  {"revision", static_cast<double>(complete_list.revision)}});
@@ -263,7 +259,7 @@
   MergeSuspects(response.suspects);
   if (response.store_was_unavailable) relisting_until_ = now + kRelistingGrace;
   const bool has_changes = !response.page.items.empty();
-  Merge(response.page);
+  Merge(response.page, response.hops + 1);
   if (!IsUpToDate(response)) {
     followed_peer_.reset();
     OnPeerStale();
@@ -284,7 +280,10 @@
                                           Duration next) {
   const TimePoint now = SteadyClock::now();
   choice_.OnResponse(source_, now - queried_at_, now);
-  confirmed_at_ = std::max(confirmed_at_.value_or(confirmed_at), confirmed_at);
+  TableConfirmation& confirmation = context_->table_confirmation;
+  if (confirmation.confirmed_at.value_or(confirmed_at) <= confirmed_at) {
+    confirmation = {confirmed_at, {source_, hops_}};
+  }
   failures_ = 0;
   if (stale_) MarkUpToDate(now);
   if (next > Duration::zero()) {
@@ -312,7 +311,7 @@
   if (!has_complete_list_) partial_list_ = {};
   ++failures_;
   const bool down = timed_out || failures_ > 1;
-  if (down && choice_.IsRefusedByStore()) MarkStale(Describe(source_), problem);
+  if (down && choice_.IsRefusedByStore()) MarkStale(ToString(source_), problem);
   QueryNextSource();
 }
 
@@ -335,14 +334,14 @@
   if (store_unavailable_ && from_store) store_reconnected_at_ = now;
   store_unavailable_ = false;
   context_->log.Write("store-regained",
-                      {{"source", Describe(source_)},
+                      {{"source", ToString(source_)},
                        {"revision", static_cast<double>(items_.revision())}});
 }
 
-void PublishedFeed::Merge(const FeedPage& page) {
+void PublishedFeed::Merge(const FeedPage& page, int hops) {
   const std::vector<PublishedItem> changed = items_.Merge(page);
   if (changed.empty()) return;
-  on_changed_(changed);
+  on_changed_(changed, {source_, hops});
   RespondToPending(false);
 }
 
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -6,7 +6,8 @@
 // a source with older data cannot revert a change.
 //
 // Example:
-//   PublishedFeed feed(&context, [](const std::vector<PublishedItem>& items) {
+//   PublishedFeed feed(&context, [](const std::vector<PublishedItem>& items,
+//                                   const ItemOrigin& origin) {
 //     ... apply the changes ...
 //   });
 //   feed.Start();
@@ -39,9 +40,12 @@
 
 class PublishedFeed {
  public:
-  // Receives the items that changed, in the order of their changes.
-  using OnChanged = std::function<void(const std::vector<PublishedItem>&)>;
+  // Receives the items that changed, in the order of their changes, and where
+  // they came from.
+  using OnChanged =
+      std::function<void(const std::vector<PublishedItem>&, const ItemOrigin&)>;
 
+  // @param context  its `table_confirmation` is kept up to date
   PublishedFeed(TrafficContext* context, OnChanged on_changed);
 
   void Start();
@@ -97,7 +101,8 @@
   // @param confirmed_at  when the store last confirmed the items
   // @param next          delay until the next query
   void FinishSuccessfulQuery(TimePoint confirmed_at, Duration next);
-  void Merge(const FeedPage& page);
+  // @param hops  hosts between this one and the store
+  void Merge(const FeedPage& page, int hops);
   void QueryAfter(Duration delay);
 
   void SendSuspect(const Endpoint& reader, const SuspectNotice& notice);
@@ -132,8 +137,7 @@
   // can be queried for later changes only.
   bool has_complete_list_ = false;
   FeedPage partial_list_;  // The pages of the list read so far.
-  std::optional<TimePoint> confirmed_at_;
-  int failures_ = 0;  // Consecutive failed queries.
+  int failures_ = 0;       // Consecutive failed queries.
   // Set by a timeout or a repeated failure if the last query to the store
   // failed too; cleared by the next success.
   bool stale_ = false;
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -17,6 +17,7 @@
 #include "heatherlatch/fleet/server_directory.h"
 #include "heatherlatch/fleet/server_observations.h"
 #include "heatherlatch/routing/route_table.h"
+#include "heatherlatch/routing/table_confirmation.h"
 #include "heatherlatch/settings/traffic_host_settings.h"
 #include "heatherlatch/traffic/decision_log.h"
 #include "heatherlatch/traffic/route_statistics.h"
@@ -49,6 +50,7 @@
   boost::asio::io_context* io;
   TrafficHostSettings settings;
   std::shared_ptr<const RouteTable> routes;  // Null until one is received.
+  TableConfirmation table_confirmation;      // Of `routes`.
   ServerDirectory directory;
   ServerObservations observations;
   ServerConnectionPool connections;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -56,9 +56,10 @@
       load_settings_(std::move(load_settings)),
       prober_(&context_),
       feed_(&context_,
-            [this](const std::vector<PublishedItem>& items) {
+            [this](const std::vector<PublishedItem>& items,
+                   const ItemOrigin& origin) {
               const TimePoint now = SteadyClock::now();
-              for (const PublishedItem& item : items) Apply(item, now);
+              for (const PublishedItem& item : items) Apply(item, origin, now);
               if (context_.routes) context_.OnConfiguration();
             }),
       signals_(*io, SIGTERM, SIGINT, SIGHUP),
@@ -189,10 +190,11 @@
   feed_.Reconfigure();
 }
 
-void TrafficHost::Apply(const PublishedItem& item, TimePoint now) {
+void TrafficHost::Apply(const PublishedItem& item, const ItemOrigin& origin,
+                        TimePoint now) {
   const wire::KeySubject subject = wire::ReadKey(item.key);
   if (std::holds_alternative<wire::RouteTableKey>(subject)) {
-    if (!item.is_deleted) ApplyRouteTable(item);
+    if (!item.is_deleted) ApplyRouteTable(item, origin);
   } else if (const auto* zone =
                  std::get_if<wire::ZoneOutOfServiceKey>(&subject)) {
     context_.directory.SetZoneInService(zone->zone, item.is_deleted);
@@ -246,9 +248,14 @@
       [&] { return refuse("the server record cannot be decoded"); });
 }
 
-void TrafficHost::ApplyRouteTable(const PublishedItem& item) {
+void TrafficHost::ApplyRouteTable(const PublishedItem& item,
+                                  const ItemOrigin& origin) {
   const auto refuse = [&](std::string_view problem) {
-    context_.log.Write("configuration-refused", {{"problem", problem}});
+    context_.log.Write("configuration-refused",
+                       {{"problem", problem},
+                        {"revision", static_cast<double>(item.revision)},
+                        {"source", ToString(origin.source)},
+                        {"hops", static_cast<double>(origin.hops)}});
   };
   boost::leaf::try_handle_all(
       [&]() -> Result<void> {
@@ -258,7 +265,9 @@
         if (table.version <= known) return {};
         context_.log.Write("configuration",
                            {{"version", static_cast<double>(table.version)},
-                            {"before", static_cast<double>(known)}});
+                            {"before", static_cast<double>(known)},
+                            {"source", ToString(origin.source)},
+                            {"hops", static_cast<double>(origin.hops)}});
         context_.routes = std::make_shared<const RouteTable>(std::move(table));
         return {};
       },
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -52,10 +52,12 @@
   void CheckSettings();
   void CheckForSuspension();
 
-  void Apply(const PublishedItem& item, TimePoint now);
+  // @param origin  where the item was received from
+  void Apply(const PublishedItem& item, const ItemOrigin& origin,
+             TimePoint now);
   void ApplyServer(const std::string& name, const PublishedItem& item,
                    TimePoint now);
-  void ApplyRouteTable(const PublishedItem& item);
+  void ApplyRouteTable(const PublishedItem& item, const ItemOrigin& origin);
   std::optional<ServerRecord> ReadServer(const std::string& name,
                                          const PublishedItem& item);
 
--- a/heatherlatch/traffic/traffic_metrics.cc
+++ b/heatherlatch/traffic/traffic_metrics.cc
@@ -50,6 +50,10 @@
   ++counter->second;
 }
 
+void TrafficMetrics::CountResponse(ResponseOrigin origin, unsigned status) {
+  ++responses_[{origin, status}];
+}
+
 std::string TrafficMetrics::Text() const {
   std::string out;
   for (const auto& [family, outcomes] : families_) {
@@ -58,6 +62,13 @@
              std::to_string(count) + "\n";
     }
   }
+  for (const auto& [labels, count] : responses_) {
+    const auto& [origin, status] = labels;
+    out += std::string(kMetricPrefix) + "responses_total{origin=\"" +
+           (origin == ResponseOrigin::kHost ? "host" : "server") +
+           "\",status=\"" + std::to_string(status) + "\"} " +
+           std::to_string(count) + "\n";
+  }
   request_time.AppendTo("request_seconds", &out);
   placement_time.AppendTo("placing_seconds", &out);
   server_time.AppendTo("server_seconds", &out);
--- a/heatherlatch/traffic/traffic_metrics.h
+++ b/heatherlatch/traffic/traffic_metrics.h
@@ -5,7 +5,7 @@
 // anything (docs/ARCHITECTURE.md).
 //
 // The number of series is bounded: labels are outcomes, never names of callers
-// or requests.
+// or requests. Responses are labelled by origin and status.
 //
 // Example:
 //   metrics.Count("requests", "answered");
@@ -21,6 +21,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "heatherlatch/base/time.h"
 
@@ -41,11 +42,18 @@
   double sum_milliseconds_ = 0;
 };
 
+// Who made a response to a caller.
+enum class ResponseOrigin { kHost, kServer };
+
 class TrafficMetrics {
  public:
   // Counts one event of a family, such as ("requests", "answered").
   void Count(std::string_view family, std::string_view outcome);
 
+  // Counts one response to a caller.
+  // @param status  the HTTP status
+  void CountResponse(ResponseOrigin origin, unsigned status);
+
   // @return all series in Prometheus text format
   std::string Text() const;
 
@@ -58,6 +66,7 @@
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>,
            std::less<>>
       families_;
+  std::map<std::pair<ResponseOrigin, unsigned>, std::uint64_t> responses_;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "heatherlatch/traffic/configuration_basis.h"
 #include "heatherlatch/traffic/decision_log.h"
 #include "heatherlatch/traffic/route_statistics.h"
 #include "heatherlatch/traffic/traffic_metrics.h"
@@ -43,6 +44,29 @@
   CHECK(read.at("waited_ms") == 1.5);
 }
 
+TEST_CASE("a refusal is logged with a bounded, printable target") {
+  RouteTable table;
+  table.version = 7;
+  TableConfirmation confirmation;
+  const TimePoint now{milliseconds(5000)};
+  const std::string target = "/\xff" + std::string(1000, 'x');
+  const ConfigurationBasis never("h", target, &table, confirmation, now);
+  CHECK(std::get<std::string_view>(never.target()).size() ==
+        kMaxLoggedNameBytes);
+  CHECK(std::get<std::string_view>(never.target()).substr(0, 3) == "/?x");
+  CHECK(std::get<double>(never.version()) == 7);
+  CHECK(std::holds_alternative<std::monostate>(never.age_ms()));
+  CHECK(std::holds_alternative<std::monostate>(never.source()));
+  CHECK(std::holds_alternative<std::monostate>(never.hops()));
+  confirmation.confirmed_at = now - milliseconds(300);
+  confirmation.origin = {PeerSource{{"10.0.0.1", 80}}, 1};
+  const ConfigurationBasis basis("h", "/", nullptr, confirmation, now);
+  CHECK(std::get<double>(basis.version()) == 0);
+  CHECK(std::get<double>(basis.age_ms()) == Approx(300));
+  CHECK(std::get<std::string_view>(basis.source()) == "10.0.0.1:80");
+  CHECK(std::get<double>(basis.hops()) == 1);
+}
+
 TEST_CASE("a full log buffer drops lines and reports how many") {
   Pipe pipe;
   constexpr std::size_t kMaxBufferedBytes = 20'000;
@@ -120,8 +144,15 @@
   TrafficMetrics metrics;
   metrics.Count("requests", "answered");
   metrics.Count("requests", "answered");
+  metrics.CountResponse(ResponseOrigin::kHost, 404);
+  metrics.CountResponse(ResponseOrigin::kServer, 404);
+  metrics.CountResponse(ResponseOrigin::kServer, 404);
   metrics.request_time.Observe(milliseconds(30));
   const std::string text = metrics.Text();
+  CHECK(text.find("heatherlatch_responses_total{origin=\"host\",status=\"404\"}"
+                  " 1\n") != std::string::npos);
+  CHECK(text.find("heatherlatch_responses_total{origin=\"server\",status="
+                  "\"404\"} 2\n") != std::string::npos);
   CHECK(text.find("heatherlatch_requests_total{outcome=\"answered\"} 2\n") !=
         std::string::npos);
   CHECK(text.find("heatherlatch_request_seconds_bucket{le=\"0.025\"} 0\n") !=
--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -36,7 +36,26 @@
   return nullptr;
 }
 
-std::string RefusedCause(const std::string& reason, const Json& ended) {
+// @return what the host knew about its configuration, as the `ended` line says
+std::string ConfigurationBasis(const Json& ended) {
+  const std::string version = NumberField(ended, "configuration");
+  if (version == "0") return "The host had no configuration.";
+  const std::string held = "The host held configuration " + version;
+  if (!ended.contains("age_ms")) {
+    return held +
+           ", which the store had not confirmed since the host's start or its "
+           "last suspension.";
+  }
+  const std::string source = StringField(ended, "source");
+  const std::string by =
+      source == "store"
+          ? "the store"
+          : "peer " + source + " (hops: " + NumberField(ended, "hops") + ")";
+  return held + ", confirmed " + NumberField(ended, "age_ms") +
+         " ms earlier through " + by + ".";
+}
+
+std::string NotRunCause(const std::string& reason, const Json& ended) {
   const std::string waited = NumberField(ended, "total_ms") + " ms";
   static const std::map<std::string, std::string> causes = {
       {"queue-full", "no server that it may use had room in time"},
@@ -45,7 +64,8 @@
       {"connect-failed", "the servers that it chose could not be connected to"},
       {"shed-by-server", "the servers that it was sent to refused it"},
       {"no-route", "the configuration of the host has no route for it"},
-      {"configuration-unavailable", "the host had no configuration yet"},
+      {"configuration-unavailable",
+       "the host knew no configuration that the store had confirmed"},
       {"suspected-of-crashing-servers",
        "servers crashed while they ran this content"},
   };
@@ -54,6 +74,13 @@
   return "Refused after " + waited + ", not run: " + cause + ".";
 }
 
+std::string RefusedCause(const std::string& reason, const Json& ended) {
+  const std::string cause = NotRunCause(reason, ended);
+  if (!ended.contains("configuration")) return cause;
+  return cause + " Requested: " + StringField(ended, "authority") + " " +
+         StringField(ended, "target") + ". " + ConfigurationBasis(ended);
+}
+
 std::string UnknownCause(const std::string& reason,
                          const std::vector<LogLine>& lines, const Json& ended) {
   const LogLine* placed = FindLast(lines, "placed");
--- a/programs/explain/explanation_test.cc
+++ b/programs/explain/explanation_test.cc
@@ -16,6 +16,9 @@
   2.2 host-2 {"at_ms":20200,"event":"server-gone","server":"i-1","revision":7}
   3.0 host-2 {"at_ms":30000,"event":"ended","request":"b","outcome":"refused","reason":"queue-full","status":503,"total_ms":640}
   3.0 host-2 {"at_ms":30000,"event":"ended","request":"f","outcome":"refused","reason":"suspected-of-crashing-servers","status":503,"total_ms":1}
+  3.0 host-2 {"at_ms":30000,"event":"ended","request":"g","outcome":"refused","reason":"no-route","status":404,"total_ms":1,"authority":"shop.example","target":"/b/","configuration":4,"age_ms":310.5,"source":"10.0.0.1:80","hops":1}
+  3.0 host-2 {"at_ms":30000,"event":"ended","request":"h","outcome":"refused","reason":"no-route","status":404,"total_ms":1,"authority":"shop.example","target":"/b/","configuration":4}
+  3.0 host-2 {"at_ms":30000,"event":"ended","request":"i","outcome":"refused","reason":"configuration-unavailable","status":503,"total_ms":1,"authority":"shop.example","target":"/b/","configuration":0}
   3.0 host-2 {"at_ms":30000,"event":"caller-gone","request":"c","waited_ms":5}
   3.0 host-2 {"at_ms":30000,"event":"ended","request":"d","outcome":"answered","reason":"i-2","status":504,"total_ms":2000}
   3.0 host-2 {"at_ms":30000,"event":"placed","request":"e","server":"i-2"}
@@ -53,6 +56,23 @@
   CHECK(CauseOf("x") == "No log line has this request id.");
 }
 
+TEST_CASE("a refusal by the configuration is explained by its confirmation") {
+  CHECK(CauseOf("g") ==
+        "Refused after 1 ms, not run: the configuration of the host has no "
+        "route for it. Requested: shop.example /b/. The host held "
+        "configuration 4, confirmed 310.5 ms earlier through peer 10.0.0.1:80 "
+        "(hops: 1).");
+  CHECK(CauseOf("h") ==
+        "Refused after 1 ms, not run: the configuration of the host has no "
+        "route for it. Requested: shop.example /b/. The host held "
+        "configuration 4, which the store had not confirmed since the host's "
+        "start or its last suspension.");
+  CHECK(CauseOf("i") ==
+        "Refused after 1 ms, not run: the host knew no configuration that the "
+        "store had confirmed. Requested: shop.example /b/. The host had no "
+        "configuration.");
+}
+
 TEST_CASE("the printed explanation ends with the cause") {
   const std::string text = ToString(Explain("a", ReadLines(kLog, "log")));
   CHECK(text.find("host-1 {") == 0);
