Answer 404 only from a route table that the store has confirmed

Callers of a host that was cut off from its sources, was restarted beside peers that are out of date, or was frozen, got 404 for requests to routes that other hosts served, and did not retry.

Cause: Exchange concluded from the table held, whatever its age, that a route does not exist. Now DecideUnrouted decides from the last confirmation by the store, itself or through a peer: NoSuchRoute (404) up to kMaxConfirmationAge, otherwise NotConfirmed (503 with Retry-After, reason configuration-unavailable, not run). The bound is the one within which a peer counts as up to date: what a request to a peer leaves of the shortest bound on following a change, so a configuration that may be in force lacks the route. Known routes are served as before.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "heatherlatch/admission/content_digest.h"
+#include "heatherlatch/routing/unrouted_decision.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "platform/server_fields.h"
 
@@ -100,7 +101,7 @@
   }
   route_ = routes_->Find(request_.authority, request_.target);
   if (route_ == nullptr) {
-    RefuseByConfiguration(kNotFound, NotRunReason::kNoRoute, std::nullopt);
+    RefuseUnrouted();
     return;
   }
   const double point =
@@ -667,6 +668,23 @@
   RespondLocally(status, "refused", ToString(reason), retry_after);
 }
 
+void Exchange::RefuseUnrouted() {
+  struct Visitor {
+    Exchange* exchange;
+    void operator()(const NoSuchRoute&) const {
+      exchange->RefuseByConfiguration(kNotFound, NotRunReason::kNoRoute,
+                                      std::nullopt);
+    }
+    void operator()(const NotConfirmed&) const {
+      exchange->RefuseByConfiguration(kServiceUnavailable,
+                                      NotRunReason::kConfigurationUnavailable,
+                                      kRetryAfter);
+    }
+  };
+  std::visit(Visitor{this},
+             DecideUnrouted(context_->table_confirmation, SteadyClock::now()));
+}
+
 void Exchange::FailAsUnknown(unsigned status, UnknownReason reason) {
   RespondLocally(status, "unknown", ToString(reason), std::nullopt);
 }
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -139,6 +139,8 @@
   // Refuses the request because of what the configuration says or lacks.
   void RefuseByConfiguration(unsigned status, NotRunReason reason,
                              std::optional<Duration> retry_after);
+  // Refuses the request because no route of the table matches it.
+  void RefuseUnrouted();
   void FailAsUnknown(unsigned status, UnknownReason reason);
   void RespondLocally(unsigned status, std::string_view outcome,
                       std::string_view reason,
