Log whether a relayed response was signed, and why another was not accepted

What the logs lacked: a relayed 4xx did not say whether its server had signed it, and a response that was dropped left only "no-answer" with a fixed text for two different reasons. Change, without one of logic: `ended` has `signed` for a relayed response, and a new event `response-not-accepted` gives server, status, signature, the request ID that the response carries if it is another, and the reason. A log field that holds no value is left out of its line.

--- a/heatherlatch/traffic/decision_log.cc
+++ b/heatherlatch/traffic/decision_log.cc
@@ -43,6 +43,7 @@
   *out += "{\"at_ms\":" + std::to_string(now.count()) + ",\"event\":";
   AppendText(event, out);
   for (const auto& [name, value] : fields) {
+    if (std::holds_alternative<std::monostate>(value)) continue;
     *out += ',';
     AppendText(name, out);
     *out += ':';
--- a/heatherlatch/traffic/decision_log.h
+++ b/heatherlatch/traffic/decision_log.h
@@ -23,7 +23,8 @@
 
 class DecisionLog {
  public:
-  using Value = std::variant<std::string_view, double>;
+  // A field that holds std::monostate is left out of its line.
+  using Value = std::variant<std::string_view, double, std::monostate>;
   using Field = std::pair<std::string_view, Value>;
 
   // @param descriptor          the file descriptor to write to; it is set to
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -6,7 +6,6 @@
 
 #include "heatherlatch/admission/content_digest.h"
 #include "heatherlatch/traffic/http_status.h"
-#include "platform/server_fields.h"
 
 namespace heatherlatch {
 namespace {
@@ -64,6 +63,11 @@
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 bool IsServerError(unsigned status) { return status >= 500; }
 
+DecisionLog::Value LogValue(std::optional<bool> value) {
+  if (!value) return std::monostate();
+  return *value ? 1.0 : 0.0;
+}
+
 }  // namespace
 
 Exchange::Exchange(TrafficContext* context, LoadProber* prober,
@@ -553,6 +557,8 @@
   }
   const bool other_request = fields.request_id != request_.request_id;
   if (other_request || (IsSuccess(status) && !fields.is_signed)) {
+    LogNotAccepted(attempt, status, fields,
+                   other_request ? "other-request" : "unsigned");
     attempt->connection->Cancel();
     OnNoResponse(
         attempt,
@@ -584,7 +590,21 @@
       return;
     }
   }
-  Relay(attempt, response);
+  Relay(attempt, response, fields.is_signed);
+}
+
+void Exchange::LogNotAccepted(const AttemptPtr& attempt, unsigned status,
+                              const wire::ServerResponseFields& fields,
+                              std::string_view reason) {
+  DecisionLog::Value other_id = std::monostate();
+  if (fields.request_id != request_.request_id) other_id = fields.request_id;
+  context_->log.Write("response-not-accepted",
+                      {{"request", request_.request_id},
+                       {"server", attempt->server.name.str()},
+                       {"status", static_cast<double>(status)},
+                       {"signed", LogValue(fields.is_signed)},
+                       {"carried_request", other_id},
+                       {"reason", reason}});
 }
 
 void Exchange::OnNotRun(const AttemptPtr& attempt, unsigned status,
@@ -609,8 +629,8 @@
          context_->RetryBudgetFor(service_).TryRetry();
 }
 
-void Exchange::Relay(const AttemptPtr& attempt,
-                     const ServerResponse& response) {
+void Exchange::Relay(const AttemptPtr& attempt, const ServerResponse& response,
+                     bool is_signed) {
   const Duration service_time = SteadyClock::now() - attempt->sent_at;
   CallerResponse relayed;
   relayed.status = response.message.result_int();
@@ -623,6 +643,7 @@
     relayed.fields += "\r\n";
   }
   relayed.body = response.message.body();
+  relayed.is_signed = is_signed;
   if (request_.method == "HEAD") {
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
@@ -689,6 +710,7 @@
                        {"outcome", outcome},
                        {"reason", reason},
                        {"status", static_cast<double>(response.status)},
+                       {"signed", LogValue(response.is_signed)},
                        {"sends", static_cast<double>(sends_)},
                        {"total_ms", ToMilliseconds(total)}});
   const Done done = std::move(done_);
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -29,6 +29,7 @@
 #include "heatherlatch/steering/placement_decision.h"
 #include "heatherlatch/traffic/load_prober.h"
 #include "heatherlatch/traffic/traffic_context.h"
+#include "platform/server_fields.h"
 
 namespace heatherlatch {
 
@@ -52,6 +53,8 @@
   // The server's Content-Length in the response to a HEAD request; empty if the
   // server sent none. Absent for other methods.
   std::optional<std::string> head_content_length;
+  // Whether a server signed it; absent in a response of the host itself.
+  std::optional<bool> is_signed = std::nullopt;
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
@@ -124,9 +127,14 @@
   void OnNoResponse(const AttemptPtr& attempt, const std::string& problem);
   void OnServerResponse(const AttemptPtr& attempt,
                         const ServerResponse& response);
+  // @param reason  why the response is neither relayed nor taken as a refusal
+  void LogNotAccepted(const AttemptPtr& attempt, unsigned status,
+                      const wire::ServerResponseFields& fields,
+                      std::string_view reason);
   // @param had_room  whether the server had a free slot
   void OnNotRun(const AttemptPtr& attempt, unsigned status, bool had_room);
-  void Relay(const AttemptPtr& attempt, const ServerResponse& response);
+  void Relay(const AttemptPtr& attempt, const ServerResponse& response,
+             bool is_signed);
 
   // Takes a retry from the service's budget, if attempts and time are left.
   // @return whether the request may be sent again
