Classify a server's response in one pure function

Without a change of logic: what a response proves is decided from its status, its decoded fields and the expected request ID, and the exchange acts on the result.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -6,6 +6,7 @@
 
 #include "heatherlatch/admission/content_digest.h"
 #include "heatherlatch/traffic/http_status.h"
+#include "heatherlatch/traffic/response_classification.h"
 
 namespace heatherlatch {
 namespace {
@@ -61,7 +62,6 @@
 }
 
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
-bool IsServerError(unsigned status) { return status >= 500; }
 
 DecisionLog::Value LogValue(std::optional<bool> value) {
   if (!value) return std::monostate();
@@ -555,17 +555,16 @@
   if (fields.load) {
     context_->observations.OnReading(attempt->server.name, *fields.load, now);
   }
-  const bool other_request = fields.request_id != request_.request_id;
-  if (other_request || (IsSuccess(status) && !fields.is_signed)) {
-    LogNotAccepted(attempt, status, fields,
-                   other_request ? "other-request" : "unsigned");
+  const ResponseProof proof =
+      ClassifyResponse(status, fields, request_.request_id);
+  if (const auto* not_trusted = std::get_if<NotTrusted>(&proof)) {
+    LogNotAccepted(attempt, status, fields, not_trusted->reason);
     attempt->connection->Cancel();
-    OnNoResponse(
-        attempt,
-        "the response carries another request ID or no server signature");
+    OnNoResponse(attempt, "the response proves nothing: " +
+                              std::string(not_trusted->reason));
     return;
   }
-  if (fields.not_run) {
+  if (std::holds_alternative<NotExecuted>(proof)) {
     if (attempts_.empty()) EndAdmission();
     const bool had_room = fields.load
                               ? HasFreeSlot(*fields.load)
@@ -577,20 +576,29 @@
     admitted_ = false;
     context_->suspects.OnEnd(service_, digest_, false, now);
   }
-  if (IsServerError(status)) {
-    context_->observations.OnFailure(attempt->server.name, now);
-    may_have_run_ = true;
-    if (!attempts_.empty()) return;
-    if (route_->idempotent && TryTakeRetry()) {
-      context_->log.Write("failed-by-server",
-                          {{"request", request_.request_id},
-                           {"server", attempt->server.name.str()},
-                           {"status", static_cast<double>(status)}});
-      SelectServer(SendKind::kPrimary);
-      return;
-    }
+  if (std::holds_alternative<FailedByServer>(proof)) {
+    OnFailedByServer(attempt, response, fields.is_signed);
+  } else {
+    Relay(attempt, response, fields.is_signed);
+  }
+}
+
+void Exchange::OnFailedByServer(const AttemptPtr& attempt,
+                                const ServerResponse& response,
+                                bool is_signed) {
+  context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
+  may_have_run_ = true;
+  if (!attempts_.empty()) return;
+  if (route_->idempotent && TryTakeRetry()) {
+    context_->log.Write(
+        "failed-by-server",
+        {{"request", request_.request_id},
+         {"server", attempt->server.name.str()},
+         {"status", static_cast<double>(response.message.result_int())}});
+    SelectServer(SendKind::kPrimary);
+    return;
   }
-  Relay(attempt, response, fields.is_signed);
+  Relay(attempt, response, is_signed);
 }
 
 void Exchange::LogNotAccepted(const AttemptPtr& attempt, unsigned status,
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -127,6 +127,8 @@
   void OnNoResponse(const AttemptPtr& attempt, const std::string& problem);
   void OnServerResponse(const AttemptPtr& attempt,
                         const ServerResponse& response);
+  void OnFailedByServer(const AttemptPtr& attempt,
+                        const ServerResponse& response, bool is_signed);
   // @param reason  why the response is neither relayed nor taken as a refusal
   void LogNotAccepted(const AttemptPtr& attempt, unsigned status,
                       const wire::ServerResponseFields& fields,
--- /dev/null
+++ b/heatherlatch/traffic/response_classification_test.cc
@@ -0,0 +1,72 @@
+#include "heatherlatch/traffic/response_classification.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <variant>
+
+namespace heatherlatch {
+namespace {
+
+constexpr unsigned kStatusEnd = 1000;  // A status line has three digits.
+
+std::string NameOf(const ResponseProof& proof) {
+  struct Visitor {
+    std::string operator()(const Answered&) const { return "answered"; }
+    std::string operator()(const FailedByServer&) const { return "failed"; }
+    std::string operator()(const NotExecuted&) const { return "not-executed"; }
+    std::string operator()(const NotTrusted& proof) const {
+      return std::string(proof.reason);
+    }
+  };
+  return std::visit(Visitor{}, proof);
+}
+
+std::string Classify(unsigned status, bool is_signed, bool not_run,
+                     const std::string& carried_id) {
+  wire::ServerResponseFields fields;
+  fields.request_id = carried_id;
+  fields.is_signed = is_signed;
+  fields.not_run = not_run;
+  return NameOf(ClassifyResponse(status, fields, "id-1"));
+}
+
+// Calls `check` for each status, with and without a signature.
+template <typename Check>
+void ForEachStatus(Check check) {
+  for (unsigned status = 0; status < kStatusEnd; ++status) {
+    for (const bool is_signed : {false, true}) {
+      CAPTURE(status, is_signed);
+      check(status, is_signed);
+    }
+  }
+}
+
+TEST_CASE("a response with another request ID or none proves nothing") {
+  ForEachStatus([](unsigned status, bool is_signed) {
+    for (const bool not_run : {false, true}) {
+      CHECK(Classify(status, is_signed, not_run, "id-2") == "other-request");
+      CHECK(Classify(status, is_signed, not_run, "") == "other-request");
+    }
+  });
+}
+
+TEST_CASE("a response that states non-execution is taken at its word") {
+  ForEachStatus([](unsigned status, bool is_signed) {
+    const bool is_success = status >= 200 && status < 300;
+    CHECK(Classify(status, is_signed, true, "id-1") ==
+          (is_success && !is_signed ? "unsigned" : "not-executed"));
+  });
+}
+
+TEST_CASE("a response with the ID of the request is classified by its status") {
+  ForEachStatus([](unsigned status, bool is_signed) {
+    const bool is_success = status >= 200 && status < 300;
+    const std::string expected = status >= 500              ? "failed"
+                                 : is_success && !is_signed ? "unsigned"
+                                                            : "answered";
+    CHECK(Classify(status, is_signed, false, "id-1") == expected);
+  });
+}
+
+}  // namespace
+}  // namespace heatherlatch
