Relay a 3xx or 4xx of a server only if it is signed

Callers saw: 301, 400, 401, 403, 404, 413 and others that no server vouched for, which count as the host's own denial. Cause: a response below 500 with the request's ID was relayed whether signed or not; only a 2xx had to be signed. A server in trouble can send any status. Change: without a signature every response below 500 proves nothing, as an unsigned 2xx did before: the request may have run. An idempotent one is sent again within the retry budget, any other gets 502. A request that is not idempotent still arrives once.

--- a/heatherlatch/traffic/response_classification.cc
+++ b/heatherlatch/traffic/response_classification.cc
@@ -15,6 +15,7 @@
   if (IsSuccess(status) && !fields.is_signed) return NotTrusted{"unsigned"};
   if (fields.not_run) return NotExecuted{};
   if (IsServerError(status)) return FailedByServer{};
+  if (!fields.is_signed) return NotTrusted{"unsigned"};
   return Answered{};
 }
 
--- a/heatherlatch/traffic/response_classification_test.cc
+++ b/heatherlatch/traffic/response_classification_test.cc
@@ -60,10 +60,9 @@
 
 TEST_CASE("a response with the ID of the request is classified by its status") {
   ForEachStatus([](unsigned status, bool is_signed) {
-    const bool is_success = status >= 200 && status < 300;
-    const std::string expected = status >= 500              ? "failed"
-                                 : is_success && !is_signed ? "unsigned"
-                                                            : "answered";
+    const std::string expected = status >= 500 ? "failed"
+                                 : is_signed   ? "answered"
+                                               : "unsigned";
     CHECK(Classify(status, is_signed, false, "id-1") == expected);
   });
 }
