Do not pass on a promise of a server that it did not prove

Callers saw: 408, 429 and 503 of a server for requests that may have run. These statuses promise that the request did not run and never will, so a caller sends it again. Change: they count as a failure of the server. An idempotent request is sent again within the retry budget, any other ends with 502 of the host, without the server's signature. Responses with 500, 502 and 504 are relayed as before. Before: 408 (0x198) == 502 (0x1f6), 429 and 503 likewise, signed and unsigned.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -576,29 +576,33 @@
     admitted_ = false;
     context_->suspects.OnEnd(service_, digest_, false, now);
   }
-  if (std::holds_alternative<FailedByServer>(proof)) {
-    OnFailedByServer(attempt, response, fields.is_signed);
-  } else {
+  if (std::holds_alternative<Answered>(proof)) {
+    Relay(attempt, response, fields.is_signed);
+    return;
+  }
+  const bool may_relay = std::holds_alternative<FailedByServer>(proof);
+  if (!may_relay) {
+    LogNotAccepted(attempt, status, fields, "refused-without-proof");
+  }
+  if (!EndsAfterFailure(attempt, status)) return;
+  if (may_relay) {
     Relay(attempt, response, fields.is_signed);
+  } else {
+    FailAsUnknown(kBadGateway, UnknownReason::kResponseLost);
   }
 }
 
-void Exchange::OnFailedByServer(const AttemptPtr& attempt,
-                                const ServerResponse& response,
-                                bool is_signed) {
+bool Exchange::EndsAfterFailure(const AttemptPtr& attempt, unsigned status) {
   context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
   may_have_run_ = true;
-  if (!attempts_.empty()) return;
-  if (route_->idempotent && TryTakeRetry()) {
-    context_->log.Write(
-        "failed-by-server",
-        {{"request", request_.request_id},
-         {"server", attempt->server.name.str()},
-         {"status", static_cast<double>(response.message.result_int())}});
-    SelectServer(SendKind::kPrimary);
-    return;
-  }
-  Relay(attempt, response, is_signed);
+  if (!attempts_.empty()) return false;
+  if (!route_->idempotent || !TryTakeRetry()) return true;
+  context_->log.Write("failed-by-server",
+                      {{"request", request_.request_id},
+                       {"server", attempt->server.name.str()},
+                       {"status", static_cast<double>(status)}});
+  SelectServer(SendKind::kPrimary);
+  return false;
 }
 
 void Exchange::LogNotAccepted(const AttemptPtr& attempt, unsigned status,
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -127,8 +127,10 @@
   void OnNoResponse(const AttemptPtr& attempt, const std::string& problem);
   void OnServerResponse(const AttemptPtr& attempt,
                         const ServerResponse& response);
-  void OnFailedByServer(const AttemptPtr& attempt,
-                        const ServerResponse& response, bool is_signed);
+  // Records that a server failed the request, which may have run, and sends it
+  // again if that is allowed.
+  // @return whether the request ends with this failure
+  bool EndsAfterFailure(const AttemptPtr& attempt, unsigned status);
   // @param reason  why the response is neither relayed nor taken as a refusal
   void LogNotAccepted(const AttemptPtr& attempt, unsigned status,
                       const wire::ServerResponseFields& fields,
--- a/heatherlatch/traffic/http_status.h
+++ b/heatherlatch/traffic/http_status.h
@@ -10,6 +10,8 @@
   kNotFound = 404,
   kRequestTimeout = 408,
   kPayloadTooLarge = 413,
+  kMisdirectedRequest = 421,
+  kTooManyRequests = 429,
   kHeaderTooLarge = 431,
   kBadGateway = 502,
   kServiceUnavailable = 503,
--- a/heatherlatch/traffic/response_classification.cc
+++ b/heatherlatch/traffic/response_classification.cc
@@ -1,10 +1,16 @@
 #include "heatherlatch/traffic/response_classification.h"
 
+#include "heatherlatch/traffic/http_status.h"
+
 namespace heatherlatch {
 namespace {
 
-bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
-bool IsServerError(unsigned status) { return status >= 500; }
+// The statuses that promise the caller that its request did not run, and never
+// will.
+bool PromisesNotRun(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
 
 }  // namespace
 
@@ -12,9 +18,11 @@
                                const wire::ServerResponseFields& fields,
                                const std::string& request_id) {
   if (fields.request_id != request_id) return NotTrusted{"other-request"};
-  if (IsSuccess(status) && !fields.is_signed) return NotTrusted{"unsigned"};
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success && !fields.is_signed) return NotTrusted{"unsigned"};
   if (fields.not_run) return NotExecuted{};
-  if (IsServerError(status)) return FailedByServer{};
+  if (PromisesNotRun(status)) return RefusedWithoutProof{};
+  if (status >= 500) return FailedByServer{};
   if (!fields.is_signed) return NotTrusted{"unsigned"};
   return Answered{};
 }
--- a/heatherlatch/traffic/response_classification.h
+++ b/heatherlatch/traffic/response_classification.h
@@ -23,12 +23,15 @@
 struct FailedByServer {};
 // The server stated that it did not execute the request, and never will.
 struct NotExecuted {};
+// The status promises that the request did not run, but the server did not
+// state so: the request may have run. The response is not relayed.
+struct RefusedWithoutProof {};
 // The response proves nothing: the request may have run. It is not relayed.
 struct NotTrusted {
   std::string_view reason;  // For the log, such as "other-request".
 };
-using ResponseProof =
-    std::variant<Answered, FailedByServer, NotExecuted, NotTrusted>;
+using ResponseProof = std::variant<Answered, FailedByServer, NotExecuted,
+                                   RefusedWithoutProof, NotTrusted>;
 
 // @param status      the HTTP status of the response
 // @param fields      the decoded header fields of the response
