Do not believe a refusal whose status says that the request ran

Callers saw: 503 for a request that a server had answered with a signed 200 and X-Not-Executed, after the host had sent it to a second server. Cause: X-Not-Executed was believed with any status. With a 2xx or 3xx the response contradicts itself and does not prove that the request did not run. Change: below 400 such a response proves nothing; the request may have run.

--- a/heatherlatch/traffic/response_classification.cc
+++ b/heatherlatch/traffic/response_classification.cc
@@ -18,9 +18,10 @@
                                const wire::ServerResponseFields& fields,
                                const std::string& request_id) {
   if (fields.request_id != request_id) return NotTrusted{"other-request"};
-  const bool is_success = status >= 200 && status < 300;
-  if (is_success && !fields.is_signed) return NotTrusted{"unsigned"};
-  if (fields.not_run) return NotExecuted{};
+  if (fields.not_run) {
+    if (status < kBadRequest) return NotTrusted{"contradictory-refusal"};
+    return NotExecuted{};
+  }
   if (PromisesNotRun(status)) return RefusedWithoutProof{};
   if (status >= 500) return FailedByServer{};
   if (!fields.is_signed) return NotTrusted{"unsigned"};
