Do not relay a status that HTTP does not define

Callers saw: the status lines "HTTP/1.1 0", 99, 600 and 999 of servers, which are no responses in the protocol. Cause: the HTTP parser accepts any three digits, and only a 2xx was checked further. Change: a final status outside 200 to 599 proves nothing; the request may have run. Before: 0 == 502, 99 == 502, 600 (0x258) == 502, 999 (0x3e7) == 502, all signed.

--- a/heatherlatch/traffic/response_classification_test.cc
+++ b/heatherlatch/traffic/response_classification_test.cc
@@ -7,7 +7,7 @@
 namespace heatherlatch {
 namespace {
 
-constexpr unsigned kStatusEnd = 1000;  // A status line has three digits.
+bool IsDefined(unsigned status) { return status >= 200 && status < 600; }
 
 std::string NameOf(const ResponseProof& proof) {
   struct Visitor {
@@ -33,10 +33,10 @@
   return NameOf(ClassifyResponse(status, fields, "id-1"));
 }
 
-// Calls `check` for each status, with and without a signature.
+// Calls `check` for each status of three digits, with and without a signature.
 template <typename Check>
 void ForEachStatus(Check check) {
-  for (unsigned status = 0; status < kStatusEnd; ++status) {
+  for (unsigned status = 0; status < 1000; ++status) {
     for (const bool is_signed : {false, true}) {
       CAPTURE(status, is_signed);
       check(status, is_signed);
@@ -57,7 +57,9 @@
     "a response that states non-execution is believed if its status fits") {
   ForEachStatus([](unsigned status, bool is_signed) {
     CHECK(Classify(status, is_signed, true, "id-1") ==
-          (status < 400 ? "contradictory-refusal" : "not-executed"));
+          (!IsDefined(status) ? "undefined-status"
+           : status < 400     ? "contradictory-refusal"
+                              : "not-executed"));
   });
 }
 
@@ -65,10 +67,11 @@
   ForEachStatus([](unsigned status, bool is_signed) {
     const bool promises_not_run =
         status == 408 || status == 421 || status == 429 || status == 503;
-    const std::string expected = promises_not_run ? "refused-without-proof"
-                                 : status >= 500  ? "failed"
-                                 : is_signed      ? "answered"
-                                                  : "unsigned";
+    const std::string expected = !IsDefined(status) ? "undefined-status"
+                                 : promises_not_run ? "refused-without-proof"
+                                 : status >= 500    ? "failed"
+                                 : is_signed        ? "answered"
+                                                    : "unsigned";
     CHECK(Classify(status, is_signed, false, "id-1") == expected);
   });
 }
