Send a request only over connections on which it did not fail before

Callers saw: 503, which promises "not run", for a request that a server was running. Cause: a faulty server wrote an earlier refusal once more on a kept connection. The request ID tells such a copy from the response to another request, but not if the same request is sent over the connection again: an idempotent one that is retried at the same server, or one that the caller sends again under its ID. Change: a connection remembers the requests that its server refused or failed on it, as hashes, and the pool does not choose it for these requests. After 128 of them (1 KB) the connection is closed. Callers use an ID once, so usually only a retry at the same server opens a connection for this. The bound of 128 has no test.

--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -3,9 +3,11 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <utility>
 
 namespace heatherlatch {
@@ -22,6 +24,9 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
+// Failed requests that a connection remembers, 1 KB of memory.
+constexpr std::size_t kMaxFailedRequests = 128;
+
 // How long sent bytes may stay unacknowledged; bounded as the keep-alive.
 constexpr unsigned kUnacknowledgedMilliseconds = 2500;
 
@@ -194,6 +199,19 @@
   if (done) done(std::move(result));
 }
 
+void ClientConnection::RecordFailedRequest(std::string_view request_id) {
+  if (!open_) return;
+  failed_requests_.push_back(std::hash<std::string_view>()(request_id));
+  if (failed_requests_.size() > kMaxFailedRequests && !done_) Close();
+}
+
+bool ClientConnection::MayRepeatResponseTo(std::string_view request_id) const {
+  if (failed_requests_.empty()) return false;
+  const std::size_t hash = std::hash<std::string_view>()(request_id);
+  return std::find(failed_requests_.begin(), failed_requests_.end(), hash) !=
+         failed_requests_.end();
+}
+
 void ClientConnection::Cancel() {
   done_ = nullptr;
   Close();
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -22,7 +22,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 #include "heatherlatch/base/endpoint.h"
 #include "heatherlatch/base/time.h"
@@ -68,6 +70,14 @@
   // connection.
   void Cancel();
 
+  // Records that the server refused or failed a request, which may be sent to
+  // it again: a copy of that response may still follow on this connection. The
+  // connection is closed once it would have to remember too many.
+  void RecordFailedRequest(std::string_view request_id);
+  // @return whether a copy of an earlier response on this connection could be
+  //     taken for the response to the request
+  bool MayRepeatResponseTo(std::string_view request_id) const;
+
   // @return whether another call may be made
   bool IsReusable() const { return open_ && !done_; }
   TimePoint idle_since() const { return idle_since_; }
@@ -104,6 +114,7 @@
   std::unique_ptr<Parser> parser_;
   boost::beast::flat_buffer buffer_;
   TimePoint idle_since_;
+  std::vector<std::size_t> failed_requests_;  // Hashes of their IDs.
 };
 
 // Sets TCP keep-alive and the user timeout, so that a dead path is detected
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -443,8 +443,8 @@
   attempt->slowdown = candidate.reading ? candidate.reading->slowdown : 1;
   attempt->occupancy = OccupancyAfterSend(candidate);
   attempt->distance = candidate.distance;
-  attempt->connection =
-      context_->connections.Acquire(server.endpoint, !route_->idempotent, now);
+  attempt->connection = context_->connections.Acquire(
+      server.endpoint, !route_->idempotent, request_.request_id, now);
   attempts_.push_back(attempt);
   tried_.insert(server.name);
   if (++sends_ == 1) {
@@ -564,6 +564,9 @@
                               std::string(not_trusted->reason));
     return;
   }
+  if (!std::holds_alternative<Answered>(proof)) {
+    attempt->connection->RecordFailedRequest(request_.request_id);
+  }
   if (std::holds_alternative<NotExecuted>(proof)) {
     if (attempts_.empty()) EndAdmission();
     const bool had_room = fields.load
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -16,9 +16,9 @@
 
 void LoadProber::Probe(const ServerRecord& server,
                        std::function<void(LoadReply)> done) {
-  ProbeOver(
-      context_->connections.Acquire(server.endpoint, false, SteadyClock::now()),
-      server, std::move(done));
+  ProbeOver(context_->connections.Acquire(server.endpoint, false, "",
+                                          SteadyClock::now()),
+            server, std::move(done));
 }
 
 void LoadProber::ProbeOverNewConnection(const ServerRecord& server,
--- a/heatherlatch/traffic/server_connection_pool.cc
+++ b/heatherlatch/traffic/server_connection_pool.cc
@@ -15,18 +15,22 @@
 }  // namespace
 
 std::shared_ptr<ClientConnection> ServerConnectionPool::Acquire(
-    const Endpoint& endpoint, bool fresh_only, TimePoint now) {
+    const Endpoint& endpoint, bool fresh_only, std::string_view request_id,
+    TimePoint now) {
   const Duration limit = fresh_only ? kNonIdempotentIdleLimit : kIdleLimit;
   auto& kept = idle_[endpoint];
   // The connection released last has been idle for the shortest time.
-  while (!kept.empty()) {
-    std::shared_ptr<ClientConnection> connection = kept.back();
-    if (IsFit(*connection, limit, now)) {
-      kept.pop_back();
-      return connection;
+  for (std::size_t i = kept.size(); i > 0; --i) {
+    const auto position = kept.begin() + static_cast<std::ptrdiff_t>(i - 1);
+    std::shared_ptr<ClientConnection> connection = *position;
+    if (!connection->IsReusable()) {
+      kept.erase(position);
+      continue;
     }
-    if (connection->IsReusable()) break;
-    kept.pop_back();
+    if (!IsFit(*connection, limit, now)) break;
+    if (connection->MayRepeatResponseTo(request_id)) continue;
+    kept.erase(position);
+    return connection;
   }
   return ClientConnection::Open(io_, endpoint);
 }
--- a/heatherlatch/traffic/server_connection_pool.h
+++ b/heatherlatch/traffic/server_connection_pool.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "heatherlatch/traffic/client_connection.h"
@@ -28,9 +29,14 @@
   explicit ServerConnectionPool(boost::asio::io_context* io) : io_(io) {}
 
   // @param fresh_only  whether to apply `kNonIdempotentIdleLimit`
-  // @return a kept connection, or a new one
+  // @param request_id  the request that the connection is to carry; empty for
+  //                    one without ID
+  // @return a kept connection, other than one on which the same request failed
+  //     before, or a new one
   std::shared_ptr<ClientConnection> Acquire(const Endpoint& endpoint,
-                                            bool fresh_only, TimePoint now);
+                                            bool fresh_only,
+                                            std::string_view request_id,
+                                            TimePoint now);
 
   // @return whether a kept connection is fit for a call
   bool HasIdle(const Endpoint& endpoint, TimePoint now) const;
