--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -7,7 +7,7 @@
 #include "heatherlatch/admission/content_digest.h"
 #include "heatherlatch/routing/unrouted_decision.h"
 #include "heatherlatch/traffic/http_status.h"
-#include "platform/server_fields.h"
+#include "heatherlatch/traffic/response_classification.h"
 
 namespace heatherlatch {
 namespace {
@@ -63,7 +63,11 @@
 }
 
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
-bool IsServerError(unsigned status) { return status >= 500; }
+
+DecisionLog::Value LogValue(std::optional<bool> value) {
+  if (!value) return std::monostate();
+  return *value ? 1.0 : 0.0;
+}
 
 }  // namespace
 
@@ -441,8 +445,8 @@
   attempt->slowdown = candidate.reading ? candidate.reading->slowdown : 1;
   attempt->occupancy = OccupancyAfterSend(candidate);
   attempt->distance = candidate.distance;
-  attempt->connection =
-      context_->connections.Acquire(server.endpoint, !route_->idempotent, now);
+  attempt->connection = context_->connections.Acquire(
+      server.endpoint, !route_->idempotent, request_.request_id, now);
   attempts_.push_back(attempt);
   tried_.insert(server.name);
   if (++sends_ == 1) {
@@ -553,15 +557,19 @@
   if (fields.load) {
     context_->observations.OnReading(attempt->server.name, *fields.load, now);
   }
-  const bool other_request = fields.request_id != request_.request_id;
-  if (other_request || (IsSuccess(status) && !fields.is_signed)) {
+  const ResponseProof proof =
+      ClassifyResponse(status, fields, request_.request_id);
+  if (const auto* not_trusted = std::get_if<NotTrusted>(&proof)) {
+    LogNotAccepted(attempt, status, fields, not_trusted->reason);
     attempt->connection->Cancel();
-    OnNoResponse(
-        attempt,
-        "the response carries another request ID or no server signature");
+    OnNoResponse(attempt, "the response proves nothing: " +
+                              std::string(not_trusted->reason));
     return;
   }
-  if (fields.not_run) {
+  if (!std::holds_alternative<Answered>(proof)) {
+    attempt->connection->RecordFailedRequest(request_.request_id);
+  }
+  if (std::holds_alternative<NotExecuted>(proof)) {
     if (attempts_.empty()) EndAdmission();
     const bool had_room = fields.load
                               ? HasFreeSlot(*fields.load)
@@ -573,20 +581,47 @@
     admitted_ = false;
     context_->suspects.OnEnd(service_, digest_, false, now);
   }
-  if (IsServerError(status)) {
-    context_->observations.OnFailure(attempt->server.name, now);
-    may_have_run_ = true;
-    if (!attempts_.empty()) return;
-    if (route_->idempotent && TryTakeRetry()) {
-      context_->log.Write("failed-by-server",
-                          {{"request", request_.request_id},
-                           {"server", attempt->server.name.str()},
-                           {"status", static_cast<double>(status)}});
-      SelectServer(SendKind::kPrimary);
-      return;
-    }
+  if (std::holds_alternative<Answered>(proof)) {
+    Relay(attempt, response, fields.is_signed);
+    return;
+  }
+  const bool may_relay = std::holds_alternative<FailedByServer>(proof);
+  if (!may_relay) {
+    LogNotAccepted(attempt, status, fields, "refused-without-proof");
+  }
+  if (!EndsAfterFailure(attempt, status)) return;
+  if (may_relay) {
+    Relay(attempt, response, fields.is_signed);
+  } else {
+    FailAsUnknown(kBadGateway, UnknownReason::kResponseLost);
   }
-  Relay(attempt, response);
+}
+
+bool Exchange::EndsAfterFailure(const AttemptPtr& attempt, unsigned status) {
+  context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
+  may_have_run_ = true;
+  if (!attempts_.empty()) return false;
+  if (!route_->idempotent || !TryTakeRetry()) return true;
+  context_->log.Write("failed-by-server",
+                      {{"request", request_.request_id},
+                       {"server", attempt->server.name.str()},
+                       {"status", static_cast<double>(status)}});
+  SelectServer(SendKind::kPrimary);
+  return false;
+}
+
+void Exchange::LogNotAccepted(const AttemptPtr& attempt, unsigned status,
+                              const wire::ServerResponseFields& fields,
+                              std::string_view reason) {
+  DecisionLog::Value other_id = std::monostate();
+  if (fields.request_id != request_.request_id) other_id = fields.request_id;
+  context_->log.Write("response-not-accepted",
+                      {{"request", request_.request_id},
+                       {"server", attempt->server.name.str()},
+                       {"status", static_cast<double>(status)},
+                       {"signed", LogValue(fields.is_signed)},
+                       {"carried_request", other_id},
+                       {"reason", reason}});
 }
 
 void Exchange::OnNotRun(const AttemptPtr& attempt, unsigned status,
@@ -611,8 +646,8 @@
          context_->RetryBudgetFor(service_).TryRetry();
 }
 
-void Exchange::Relay(const AttemptPtr& attempt,
-                     const ServerResponse& response) {
+void Exchange::Relay(const AttemptPtr& attempt, const ServerResponse& response,
+                     bool is_signed) {
   const Duration service_time = SteadyClock::now() - attempt->sent_at;
   CallerResponse relayed;
   relayed.status = response.message.result_int();
@@ -625,6 +660,7 @@
     relayed.fields += "\r\n";
   }
   relayed.body = response.message.body();
+  relayed.is_signed = is_signed;
   if (request_.method == "HEAD") {
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
@@ -720,6 +756,7 @@
                        {"outcome", outcome},
                        {"reason", reason},
                        {"status", static_cast<double>(response.status)},
+                       {"signed", LogValue(response.is_signed)},
                        {"sends", static_cast<double>(sends_)},
                        {"total_ms", ToMilliseconds(total)},
                        {"authority", basis ? basis->authority() : absent},
--- /dev/null
+++ b/heatherlatch/traffic/response_classification.cc
@@ -0,0 +1,37 @@
+#include "heatherlatch/traffic/response_classification.h"
+
+#include "heatherlatch/traffic/http_status.h"
+
+namespace heatherlatch {
+namespace {
+
+// HTTP defines final statuses up to 599.
+constexpr unsigned kStatusEnd = 600;
+
+// The statuses that promise the caller that its request did not run, and never
+// will.
+bool PromisesNotRun(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
+
+}  // namespace
+
+ResponseProof ClassifyResponse(unsigned status,
+                               const wire::ServerResponseFields& fields,
+                               const std::string& request_id) {
+  if (fields.request_id != request_id) return NotTrusted{"other-request"};
+  if (status < kOk || status >= kStatusEnd) {
+    return NotTrusted{"undefined-status"};
+  }
+  if (fields.not_run) {
+    if (status < kBadRequest) return NotTrusted{"contradictory-refusal"};
+    return NotExecuted{};
+  }
+  if (PromisesNotRun(status)) return RefusedWithoutProof{};
+  if (status >= 500) return FailedByServer{};
+  if (!fields.is_signed) return NotTrusted{"unsigned"};
+  return Answered{};
+}
+
+}  // namespace heatherlatch
