Say which limit rejected a request, and where the limit came from

Cause: the line request-rejected had a status and an error text, so a 413 or 431 for a limit in force could not be told from one for a built-in or outdated limit. Change: the line gives the limit (header, body or none), its value, the version of the configuration that it came from (0: none yet), the bytes received so far and whether the request was the first on its connection. No status changes; no metric changes.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -32,6 +32,22 @@
   return boost::beast::iequals(message[http::field::expect], "100-continue");
 }
 
+// A limit on the size of a request, as the log names it.
+struct LogLimit {
+  std::string_view name = "none";
+  double bytes = 0;
+};
+
+LogLimit LimitBehind(unsigned status, const CallerLimits& limits) {
+  if (status == kHeaderTooLarge) {
+    return {"header", static_cast<double>(limits.max_header_bytes)};
+  }
+  if (status == kPayloadTooLarge) {
+    return {"body", static_cast<double>(limits.max_body_bytes)};
+  }
+  return {};
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
@@ -43,7 +59,7 @@
 
 void CallerConnection::Start() {
   SetLivenessOptions(&socket_);
-  NewParser();
+  BeginRequest();
   ReadSome();
 }
 
@@ -51,12 +67,18 @@
   return context_->routes ? context_->routes->limits : CallerLimits{};
 }
 
+void CallerConnection::BeginRequest() {
+  request_.limits = Limits();
+  request_.limits_version = context_->routes ? context_->routes->version : 0;
+  request_.read_bytes = 0;
+  NewParser();
+}
+
 void CallerConnection::NewParser() {
-  const CallerLimits limits = Limits();
   parser_ = std::make_unique<Parser>();
   parser_->eager(true);
-  parser_->header_limit(limits.max_header_bytes);
-  parser_->body_limit(limits.max_body_bytes);
+  parser_->header_limit(request_.limits.max_header_bytes);
+  parser_->body_limit(request_.limits.max_body_bytes);
   header_seen_ = false;
 }
 
@@ -90,6 +112,7 @@
     error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    request_.read_bytes += used;
     if (error && error != http::error::need_more) {
       OnParseError(error);
       return;
@@ -128,10 +151,7 @@
   accepts_requests_ = false;
   const auto fields = wire::ReadCallerFields(parser_->get());
   context_->metrics.Count("requests", "rejected");
-  context_->log.Write("request-rejected",
-                      {{"request", fields.request_id},
-                       {"status", static_cast<double>(status)},
-                       {"problem", problem}});
+  LogRejection(fields.request_id, status, problem);
   auto pending = std::make_shared<PendingResponse>();
   pending->close_after = true;
   pending->response = CallerResponse{
@@ -141,6 +161,22 @@
   WriteResponses();
 }
 
+void CallerConnection::LogRejection(const std::string& request_id,
+                                    unsigned status, std::string_view problem) {
+  const LogLimit limit = LimitBehind(status, request_.limits);
+  const auto read = request_.read_bytes + buffer_.size();
+  context_->log.Write(
+      "request-rejected",
+      {{"request", request_id},
+       {"status", static_cast<double>(status)},
+       {"problem", problem},
+       {"limit", limit.name},
+       {"limit_bytes", limit.bytes},
+       {"limit_version", static_cast<double>(request_.limits_version)},
+       {"read_bytes", static_cast<double>(read)},
+       {"first_on_connection", request_.first_on_connection ? "yes" : "no"}});
+}
+
 CallerRequest CallerConnection::TakeRequest() {
   http::request<http::string_body> message = parser_->release();
   const auto fields = wire::ReadCallerFields(message);
@@ -170,7 +206,8 @@
   pending->is_http_1_0 = parser_->get().version() < 11;
   accepts_requests_ = !pending->close_after;
   CallerRequest request = TakeRequest();
-  NewParser();
+  request_.first_on_connection = false;
+  BeginRequest();
   pending_.push_back(pending);
   pending->exchange = std::make_shared<Exchange>(
       context_, prober_, std::move(request),
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -18,11 +18,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "heatherlatch/traffic/exchange.h"
 
@@ -59,8 +61,17 @@
     bool is_http_1_0 = false;
   };
 
+  // What is known of the request being read, for the log.
+  struct RequestInProgress {
+    CallerLimits limits;               // That apply to this request.
+    std::uint64_t limits_version = 0;  // 0: the built-in limits.
+    std::uint64_t read_bytes = 0;      // Of head and body.
+    bool first_on_connection = true;
+  };
+
   CallerLimits Limits() const;
   void NewParser();
+  void BeginRequest();
   void ReadSome();
   void OnRead(const boost::system::error_code& error, std::size_t size);
   void ParseRequests();
@@ -69,6 +80,8 @@
   void OnRequest();
   CallerRequest TakeRequest();
   void RejectRequest(unsigned status, const std::string& problem);
+  void LogRejection(const std::string& request_id, unsigned status,
+                    std::string_view problem);
   void OnResponse(const std::shared_ptr<PendingResponse>& pending,
                   CallerResponse response);
   void WriteResponses();
@@ -83,6 +96,7 @@
   LoadProber* prober_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
+  RequestInProgress request_;
   bool header_seen_ = false;
   std::deque<std::shared_ptr<PendingResponse>> pending_;
   std::string outgoing_;
