--- a/heatherlatch/backend/testing/raw_server.h
+++ b/heatherlatch/backend/testing/raw_server.h
@@ -41,6 +41,7 @@
 
   // @return the next `count` bytes; fewer if the connection ended first
   std::string ReadBytes(std::size_t count) {
+    if (count == 0) return "";  // recv() may wait for data even then.
     std::string bytes(count, '\0');
     const ssize_t size = recv(socket_, bytes.data(), count, MSG_WAITALL);
     bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
