Judge the size of a header in the same way wherever TCP cuts it

Callers saw: 431 for a header within maxHeaderBytes if its first packet ended inside the request line; and 200 for a header above the limit that arrived in several packets. Cause: the limit of the HTTP parser counts the bytes that it has not consumed. After an incomplete request line that is the whole head, request line included; after a complete field it is only what follows that field. Evidence before: 4093 bytes of fields, limit 4096: 200 in one piece, 431 when cut at byte 5 (denied_limits_test.cc:223: 431 == 200); two fields of 2500 bytes in two pieces: 200, not 431. Change: the connection counts the bytes of the request line and of the fields itself; JudgeSize (heatherlatch/admission/request_limits.h) compares the larger with the limit, and does the same for the declared or received bytes of the body. The limits of the parser are lifted. It parses no more than the header in one call, so that a declared length is judged before memory is reserved for it. A header longer than 64 KiB is read on, where the limit allows it. What counts is what a header in one piece was measured by before.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -1,10 +1,13 @@
 #include "heatherlatch/traffic/caller_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
+#include <limits>
 #include <utility>
+#include <variant>
 
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/http_status.h"
@@ -21,6 +24,9 @@
 constexpr std::size_t kMaxPipelinedRequests = 8;
 // Bytes of unparsed requests above which the connection is not read.
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+// Bytes of one request that are held while no limits are known.
+constexpr std::uint64_t kMaxHeldHeaderBytes = 64 * 1024;
+constexpr std::uint64_t kMaxHeldBodyBytes = 1024 * 1024;
 // How long a caller may take to close its side after the last response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
@@ -32,22 +38,6 @@
   return boost::beast::iequals(message[http::field::expect], "100-continue");
 }
 
-// A limit on the size of a request, as the log names it.
-struct LogLimit {
-  std::string_view name = "none";
-  double bytes = 0;
-};
-
-LogLimit LimitBehind(unsigned status, const CallerLimits& limits) {
-  if (status == kHeaderTooLarge) {
-    return {"header", static_cast<double>(limits.max_header_bytes)};
-  }
-  if (status == kPayloadTooLarge) {
-    return {"body", static_cast<double>(limits.max_body_bytes)};
-  }
-  return {};
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
@@ -68,18 +58,26 @@
 }
 
 void CallerConnection::BeginRequest() {
-  request_.limits = Limits();
-  request_.limits_version = context_->routes ? context_->routes->version : 0;
-  request_.read_bytes = 0;
-  NewParser();
+  request_.header_limit.reset();
+  request_.body_limit.reset();
+  ApplyLimitsInForce();
+  request_.parsed_bytes = 0;
+  request_.request_line_bytes = 0;
+  header_seen_ = false;
+  parser_ = std::make_unique<Parser>();
+  // The sizes are judged by `RejectIfTooLarge`.
+  parser_->header_limit(std::numeric_limits<std::uint32_t>::max());
+  parser_->body_limit(boost::none);
 }
 
-void CallerConnection::NewParser() {
-  parser_ = std::make_unique<Parser>();
-  parser_->eager(true);
-  parser_->header_limit(request_.limits.max_header_bytes);
-  parser_->body_limit(request_.limits.max_body_bytes);
-  header_seen_ = false;
+void CallerConnection::ApplyLimitsInForce() {
+  const CallerLimits limits = Limits();
+  const std::uint64_t version =
+      context_->routes ? context_->routes->version : 0;
+  request_.header_limit = LargerLimit(
+      request_.header_limit, SizeLimit{limits.max_header_bytes, version});
+  request_.body_limit = LargerLimit(request_.body_limit,
+                                    SizeLimit{limits.max_body_bytes, version});
 }
 
 void CallerConnection::ReadSome() {
@@ -103,20 +101,28 @@
   buffer_.commit(size);
   if (!accepts_requests_) buffer_.consume(buffer_.size());
   ParseRequests();
-  if (open_ && buffer_.size() < kMaxUnparsedBytes) ReadSome();
+  if (open_ && MayRead()) ReadSome();
+}
+
+bool CallerConnection::MayRead() const {
+  if (buffer_.size() < kMaxUnparsedBytes) return true;
+  // The parser needs the rest of a long header.
+  return pending_.size() < kMaxPipelinedRequests && !parser_->is_header_done();
 }
 
 void CallerConnection::ParseRequests() {
   while (open_ && accepts_requests_ &&
          pending_.size() < kMaxPipelinedRequests && buffer_.size() > 0) {
+    NoteRequestLine();
     error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
-    request_.read_bytes += used;
+    request_.parsed_bytes += used;
     if (error && error != http::error::need_more) {
-      OnParseError(error);
+      RejectRequest({kBadRequest, error.message()});
       return;
     }
+    if (RejectIfTooLarge()) return;
     if (parser_->is_header_done() && !header_seen_) OnHeader();
     if (parser_->is_done()) {
       OnRequest();
@@ -126,8 +132,64 @@
   }
 }
 
+void CallerConnection::NoteRequestLine() {
+  if (request_.request_line_bytes > 0) return;
+  const auto unparsed = buffer_.cdata();
+  const std::string_view text(static_cast<const char*>(unparsed.data()),
+                              unparsed.size());
+  // The parser consumes nothing before the request line is complete.
+  request_.request_line_bytes = text.find('\n') + 1;
+}
+
+std::uint64_t CallerConnection::HeaderBytes() const {
+  // Of an incomplete header, the parser may leave a part in the buffer.
+  const std::uint64_t received =
+      request_.parsed_bytes + (parser_->is_header_done() ? 0 : buffer_.size());
+  return std::max(request_.request_line_bytes,
+                  received - request_.request_line_bytes);
+}
+
+std::uint64_t CallerConnection::BodyBytes() const {
+  return std::max<std::uint64_t>(parser_->content_length().value_or(0),
+                                 parser_->get().body().size());
+}
+
+bool CallerConnection::RejectIfTooLarge() {
+  if (!header_seen_ &&
+      RejectBySize(
+          JudgeSize(HeaderBytes(), request_.header_limit, kMaxHeldHeaderBytes),
+          "header", kHeaderTooLarge)) {
+    return true;
+  }
+  return parser_->is_header_done() &&
+         RejectBySize(
+             JudgeSize(BodyBytes(), request_.body_limit, kMaxHeldBodyBytes),
+             "body", kPayloadTooLarge);
+}
+
+bool CallerConnection::RejectBySize(const SizeVerdict& verdict,
+                                    std::string_view limit_name,
+                                    unsigned status) {
+  const std::string part(limit_name);
+  if (const auto* too_large = std::get_if<TooLarge>(&verdict)) {
+    RejectRequest(
+        {status, part + " limit exceeded", limit_name, too_large->limit, {}});
+    return true;
+  }
+  if (const auto* undecidable = std::get_if<Undecidable>(&verdict)) {
+    RejectRequest({kServiceUnavailable,
+                   "the " + part + " limit is not known yet", limit_name,
+                   SizeLimit{undecidable->max_held_bytes, 0}, kRetryAfter});
+    return true;
+  }
+  return false;
+}
+
 void CallerConnection::OnHeader() {
   header_seen_ = true;
+  // Until here, each call parses no more than the header, so that the declared
+  // length is judged before memory is reserved for the body.
+  parser_->eager(true);
   if (!ExpectsContinue(parser_->get()) || parser_->is_done() ||
       !pending_.empty() || writing_) {
     return;
@@ -136,43 +198,32 @@
   WriteResponses();
 }
 
-void CallerConnection::OnParseError(const error_code& error) {
-  if (error == http::error::header_limit) {
-    RejectRequest(kHeaderTooLarge, error.message());
-  } else if (error == http::error::body_limit) {
-    RejectRequest(kPayloadTooLarge, error.message());
-  } else {
-    RejectRequest(kBadRequest, error.message());
-  }
-}
-
-void CallerConnection::RejectRequest(unsigned status,
-                                     const std::string& problem) {
+void CallerConnection::RejectRequest(const Rejection& rejection) {
   accepts_requests_ = false;
   const auto fields = wire::ReadCallerFields(parser_->get());
   context_->metrics.Count("requests", "rejected");
-  LogRejection(fields.request_id, status, problem);
+  LogRejection(fields.request_id, rejection);
   auto pending = std::make_shared<PendingResponse>();
   pending->close_after = true;
   pending->response = CallerResponse{
-      status, wire::HostResponseFields(fields.request_id, std::nullopt),
-      problem + "\n", std::nullopt};
+      rejection.status,
+      wire::HostResponseFields(fields.request_id, rejection.retry_after),
+      rejection.problem + "\n", std::nullopt};
   pending_.push_back(std::move(pending));
   WriteResponses();
 }
 
 void CallerConnection::LogRejection(const std::string& request_id,
-                                    unsigned status, std::string_view problem) {
-  const LogLimit limit = LimitBehind(status, request_.limits);
-  const auto read = request_.read_bytes + buffer_.size();
+                                    const Rejection& rejection) {
+  const auto read = request_.parsed_bytes + buffer_.size();
   context_->log.Write(
       "request-rejected",
       {{"request", request_id},
-       {"status", static_cast<double>(status)},
-       {"problem", problem},
-       {"limit", limit.name},
-       {"limit_bytes", limit.bytes},
-       {"limit_version", static_cast<double>(request_.limits_version)},
+       {"status", static_cast<double>(rejection.status)},
+       {"problem", rejection.problem},
+       {"limit", rejection.limit_name},
+       {"limit_bytes", static_cast<double>(rejection.limit.bytes)},
+       {"limit_version", static_cast<double>(rejection.limit.version)},
        {"read_bytes", static_cast<double>(read)},
        {"first_on_connection", request_.first_on_connection ? "yes" : "no"}});
 }
@@ -294,7 +345,7 @@
   }
   WriteResponses();
   ParseRequests();
-  if (buffer_.size() < kMaxUnparsedBytes) ReadSome();
+  if (MayRead()) ReadSome();
 }
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
@@ -308,7 +359,7 @@
   if (IsBusy()) return;
   const bool in_request = parser_->got_some() || buffer_.size() > 0;
   if (in_request && idle_time > limits.header_timeout) {
-    RejectRequest(kRequestTimeout, "the request was not whole in time");
+    RejectRequest({kRequestTimeout, "the request was not whole in time"});
   } else if (!in_request && idle_time > limits.idle_timeout) {
     Close();
   }
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -26,6 +26,7 @@
 #include <string>
 #include <string_view>
 
+#include "heatherlatch/admission/request_limits.h"
 #include "heatherlatch/traffic/exchange.h"
 
 namespace heatherlatch {
@@ -61,27 +62,47 @@
     bool is_http_1_0 = false;
   };
 
-  // What is known of the request being read, for the log.
+  // What is known of the request being read.
   struct RequestInProgress {
-    CallerLimits limits;               // That apply to this request.
-    std::uint64_t limits_version = 0;  // 0: the built-in limits.
-    std::uint64_t read_bytes = 0;      // Of head and body.
+    std::optional<SizeLimit> header_limit;  // Absent while none is known.
+    std::optional<SizeLimit> body_limit;
+    std::uint64_t parsed_bytes = 0;        // Of head and body.
+    std::uint64_t request_line_bytes = 0;  // 0 until it is complete.
     bool first_on_connection = true;
   };
 
+  // Why a request is rejected, and what the caller is told.
+  struct Rejection {
+    unsigned status = 0;
+    std::string problem;
+    std::string_view limit_name = "none";  // Or "header" or "body".
+    SizeLimit limit = {};                  // Version 0: not published.
+    std::optional<Duration> retry_after = std::nullopt;
+  };
+
   CallerLimits Limits() const;
-  void NewParser();
   void BeginRequest();
+  void ApplyLimitsInForce();
   void ReadSome();
   void OnRead(const boost::system::error_code& error, std::size_t size);
+  bool MayRead() const;
   void ParseRequests();
+  void NoteRequestLine();
+  // @return bytes of the fields or of the request line, whichever are more, as
+  //     far as they were received
+  std::uint64_t HeaderBytes() const;
+  // @return bytes of the body, received or declared
+  std::uint64_t BodyBytes() const;
+  // @return whether the request was rejected for its size
+  bool RejectIfTooLarge();
+  bool RejectBySize(const SizeVerdict& verdict, std::string_view limit_name,
+                    unsigned status);
   void OnHeader();
   void OnParseError(const boost::system::error_code& error);
   void OnRequest();
   CallerRequest TakeRequest();
-  void RejectRequest(unsigned status, const std::string& problem);
-  void LogRejection(const std::string& request_id, unsigned status,
-                    std::string_view problem);
+  void RejectRequest(const Rejection& rejection);
+  void LogRejection(const std::string& request_id, const Rejection& rejection);
   void OnResponse(const std::shared_ptr<PendingResponse>& pending,
                   CallerResponse response);
   void WriteResponses();
