Judge a request by the limits in force when it is read, not by a copy

Callers saw: 413 or 431 for requests within the published limits: the first request on a connection that was opened before the configuration arrived, the first on a kept connection after a newer version raised the limits, and an upload during which they were raised. The reverse too: a kept connection allowed the next request the larger limits of an older version. Cause: the limits were copied when the connection was opened or the previous request ended. Evidence before: denied_limits_test.cc:152: 413 == 200, :155: 431 == 200, :169: 413 == 200, :183: 413 == 200, :207: 200 == 413. Change: the limits in force are applied each time a part of a request is parsed, and twice a second while one is incomplete. The largest since the first byte of the request counts, so that lowered limits do not reject an upload under way. Ruled out: a request that waits behind eight others is not judged before it is parsed.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -60,7 +60,6 @@
 void CallerConnection::BeginRequest() {
   request_.header_limit.reset();
   request_.body_limit.reset();
-  ApplyLimitsInForce();
   request_.parsed_bytes = 0;
   request_.request_line_bytes = 0;
   header_seen_ = false;
@@ -113,6 +112,7 @@
 void CallerConnection::ParseRequests() {
   while (open_ && accepts_requests_ &&
          pending_.size() < kMaxPipelinedRequests && buffer_.size() > 0) {
+    ApplyLimitsInForce();
     NoteRequestLine();
     error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
@@ -352,6 +352,8 @@
   if (!open_) return;
   const Duration idle_time = now - last_activity_;
   const CallerLimits limits = Limits();
+  // Notes limits that are in force only until the next read.
+  if (parser_->got_some()) ApplyLimitsInForce();
   if (send_closed_) {
     if (idle_time > kLingerTimeout) Close();
     return;
