Answer 503, not 413 or 431, while no configuration is known

Callers saw: 413 for an upload above 1 MiB and 431 for a header above 16 KiB at a host that had just started. Callers do not retry these. Cause: before the first configuration a host applied built-in limits. Evidence before: denied_limits_test.cc:59: 413 == 503 (declared length and chunks), 431 == 503.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -70,9 +70,9 @@
 }
 
 void CallerConnection::ApplyLimitsInForce() {
-  const CallerLimits limits = Limits();
-  const std::uint64_t version =
-      context_->routes ? context_->routes->version : 0;
+  if (!context_->routes) return;
+  const CallerLimits& limits = context_->routes->limits;
+  const std::uint64_t version = context_->routes->version;
   request_.header_limit = LargerLimit(
       request_.header_limit, SizeLimit{limits.max_header_bytes, version});
   request_.body_limit = LargerLimit(request_.body_limit,
