Route a request with an absolute-form target by its authority

Callers saw: 404 for a request whose target is "http://HOST/path?query". Cause: the whole target was matched against the prefixes of paths. RFC 9112, section 3.2.2, has a server accept this form. Evidence before: denied_forms_test.cc:61, :75, :97: 404 == 200. Change: ParseAbsoluteTarget (heatherlatch/routing/request_target.h) splits such a target. Its authority takes the place of the Host field, for the choice of the route and in the forwarded request; path and query are forwarded unchanged in origin form.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "heatherlatch/routing/request_target.h"
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "platform/caller_fields.h"
@@ -252,6 +253,10 @@
   CallerRequest request;
   request.method = std::string(AsView(message.method_string()));
   request.target = std::string(AsView(message.target()));
+  if (auto absolute = ParseAbsoluteTarget(request.target)) {
+    message.set(http::field::host, absolute->authority);
+    request.target = std::move(absolute->origin_form);
+  }
   request.authority = std::string(AsView(message[http::field::host]));
   request.request_id = fields.request_id;
   request.time_budget = fields.time_budget;
