Send 100 Continue also behind a pipelined request

Callers saw: no 100 Continue for a request that was sent behind another one, and 408 after the header timeout. Cause: the interim response was sent when the header was read, or never if an earlier response was still due. Evidence before: denied_forms_test.cc:173: 408 == 100. Change: it is sent once the earlier responses are written, if the body is still awaited. As in RFC 9110, section 10.1.1, a request of HTTP/1.0 gets none; nor does a caller whose body has begun to arrive.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -45,7 +45,8 @@
 }
 
 bool ExpectsContinue(const http::request<http::string_body>& message) {
-  return boost::beast::iequals(message[http::field::expect], "100-continue");
+  return message.version() >= 11 &&
+         boost::beast::iequals(message[http::field::expect], "100-continue");
 }
 
 }  // namespace
@@ -74,6 +75,7 @@
   request_.parsed_bytes = 0;
   request_.request_line_bytes = 0;
   header_seen_ = false;
+  continue_due_ = false;
   parser_ = std::make_unique<Parser>();
   // The sizes are judged by `RejectIfTooLarge`.
   parser_->header_limit(std::numeric_limits<std::uint32_t>::max());
@@ -209,10 +211,15 @@
   // Until here, each call parses no more than the header, so that the declared
   // length is judged before memory is reserved for the body.
   parser_->eager(true);
-  if (!ExpectsContinue(parser_->get()) || parser_->is_done() ||
-      !pending_.empty() || writing_) {
-    return;
-  }
+  // A caller that sends the body already does not wait.
+  continue_due_ = ExpectsContinue(parser_->get()) && !parser_->is_done() &&
+                  buffer_.size() == 0;
+  SendContinueIfDue();
+}
+
+void CallerConnection::SendContinueIfDue() {
+  if (!continue_due_ || !pending_.empty() || writing_) return;
+  continue_due_ = false;
   outgoing_ += "HTTP/1.1 100 Continue\r\n\r\n";
   WriteResponses();
 }
@@ -368,6 +375,7 @@
   }
   WriteResponses();
   ParseRequests();
+  SendContinueIfDue();
   if (MayRead()) ReadSome();
 }
 
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -102,6 +102,9 @@
   bool RejectBySize(const SizeVerdict& verdict, std::string_view limit_name,
                     unsigned status);
   void OnHeader();
+  // Asks for the body that the caller holds back, once the responses to earlier
+  // requests are written.
+  void SendContinueIfDue();
   void OnParseError(const boost::system::error_code& error);
   void OnRequest();
   CallerRequest TakeRequest();
@@ -123,6 +126,7 @@
   std::unique_ptr<Parser> parser_;
   RequestInProgress request_;
   bool header_seen_ = false;
+  bool continue_due_ = false;  // The caller waits for 100 Continue.
   std::deque<std::shared_ptr<PendingResponse>> pending_;
   std::string outgoing_;
   bool open_ = true;
