Answer OPTIONS * at the host

Callers saw: 404 for "OPTIONS *". Cause: the target was matched against the prefixes of paths, and no prefix begins "*". RFC 9110, section 9.3.7: it asks for the options of the server in general, not of a resource. Evidence before: denied_forms_test.cc:189: 404 == 200. Change: the host answers it with 200 and no body; it is sent to no server and needs no configuration. It counts as answered and has no log line.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -57,6 +57,12 @@
          !parser.chunked();
 }
 
+// @return whether the request asks for the options of the host and not of a
+//     route (RFC 9110, section 9.3.7)
+bool IsForHost(const CallerRequest& request) {
+  return request.method == "OPTIONS" && request.target == "*";
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
@@ -303,6 +309,18 @@
   request_.first_on_connection = false;
   BeginRequest();
   pending_.push_back(pending);
+  if (IsForHost(request)) {
+    context_->metrics.Count("requests", "answered");
+    OnResponse(pending,
+               {kOk, wire::HostResponseFields(request.request_id, std::nullopt),
+                "", std::nullopt});
+  } else {
+    StartExchange(pending, std::move(request));
+  }
+}
+
+void CallerConnection::StartExchange(
+    const std::shared_ptr<PendingResponse>& pending, CallerRequest request) {
   pending->exchange = std::make_shared<Exchange>(
       context_, prober_, std::move(request),
       [self = shared_from_this(), pending](CallerResponse response) {
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -109,6 +109,8 @@
   void OnParseError(const boost::system::error_code& error);
   void OnRequest();
   CallerRequest TakeRequest();
+  void StartExchange(const std::shared_ptr<PendingResponse>& pending,
+                     CallerRequest request);
   void RejectRequest(const Rejection& rejection);
   void LogRejection(const std::string& request_id, const Rejection& rejection);
   void OnResponse(const std::shared_ptr<PendingResponse>& pending,
