--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -1,11 +1,15 @@
 #include "heatherlatch/traffic/caller_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
+#include <limits>
 #include <utility>
+#include <variant>
 
+#include "heatherlatch/routing/request_target.h"
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "platform/caller_fields.h"
@@ -21,6 +25,13 @@
 constexpr std::size_t kMaxPipelinedRequests = 8;
 // Bytes of unparsed requests above which the connection is not read.
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+// Bytes of one request that are held while no limits are known.
+constexpr std::uint64_t kMaxHeldHeaderBytes = 64 * 1024;
+constexpr std::uint64_t kMaxHeldBodyBytes = 1024 * 1024;
+constexpr std::string_view kLineEnd = "\r\n";
+// Empty lines before one request line that are skipped; RFC 9112, section 2.2,
+// asks for at least one.
+constexpr std::size_t kMaxEmptyLineBytes = 1024;
 // How long a caller may take to close its side after the last response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
@@ -28,8 +39,28 @@
   return {text.data(), text.size()};
 }
 
+std::string_view AsView(const boost::beast::flat_buffer& buffer) {
+  const auto bytes = buffer.cdata();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 bool ExpectsContinue(const http::request<http::string_body>& message) {
-  return boost::beast::iequals(message[http::field::expect], "100-continue");
+  return message.version() >= 11 &&
+         boost::beast::iequals(message[http::field::expect], "100-continue");
+}
+
+// @return whether the end of the request is unknown: its last transfer coding
+//     is not "chunked" (RFC 9112, section 6.3)
+bool HidesLength(const http::request_parser<http::string_body>& parser) {
+  const auto& message = parser.get();
+  return message.find(http::field::transfer_encoding) != message.end() &&
+         !parser.chunked();
+}
+
+// @return whether the request asks for the options of the host and not of a
+//     route (RFC 9110, section 9.3.7)
+bool IsForHost(const CallerRequest& request) {
+  return request.method == "OPTIONS" && request.target == "*";
 }
 
 }  // namespace
@@ -43,7 +74,7 @@
 
 void CallerConnection::Start() {
   SetLivenessOptions(&socket_);
-  NewParser();
+  BeginRequest();
   ReadSome();
 }
 
@@ -51,13 +82,28 @@
   return context_->routes ? context_->routes->limits : CallerLimits{};
 }
 
-void CallerConnection::NewParser() {
-  const CallerLimits limits = Limits();
-  parser_ = std::make_unique<Parser>();
-  parser_->eager(true);
-  parser_->header_limit(limits.max_header_bytes);
-  parser_->body_limit(limits.max_body_bytes);
+void CallerConnection::BeginRequest() {
+  request_.header_limit.reset();
+  request_.body_limit.reset();
+  request_.empty_line_bytes = 0;
+  request_.parsed_bytes = 0;
+  request_.request_line_bytes = 0;
   header_seen_ = false;
+  continue_due_ = false;
+  parser_ = std::make_unique<Parser>();
+  // The sizes are judged by `RejectIfTooLarge`.
+  parser_->header_limit(std::numeric_limits<std::uint32_t>::max());
+  parser_->body_limit(boost::none);
+}
+
+void CallerConnection::ApplyLimitsInForce() {
+  if (!context_->routes) return;
+  const CallerLimits& limits = context_->routes->limits;
+  const std::uint64_t version = context_->routes->version;
+  request_.header_limit = LargerLimit(
+      request_.header_limit, SizeLimit{limits.max_header_bytes, version});
+  request_.body_limit = LargerLimit(request_.body_limit,
+                                    SizeLimit{limits.max_body_bytes, version});
 }
 
 void CallerConnection::ReadSome() {
@@ -81,20 +127,30 @@
   buffer_.commit(size);
   if (!accepts_requests_) buffer_.consume(buffer_.size());
   ParseRequests();
-  if (open_ && buffer_.size() < kMaxUnparsedBytes) ReadSome();
+  if (open_ && MayRead()) ReadSome();
+}
+
+bool CallerConnection::MayRead() const {
+  if (buffer_.size() < kMaxUnparsedBytes) return true;
+  // The parser needs the rest of a long header.
+  return pending_.size() < kMaxPipelinedRequests && !parser_->is_header_done();
 }
 
 void CallerConnection::ParseRequests() {
   while (open_ && accepts_requests_ &&
-         pending_.size() < kMaxPipelinedRequests && buffer_.size() > 0) {
+         pending_.size() < kMaxPipelinedRequests && SkipEmptyLines()) {
+    ApplyLimitsInForce();
+    NoteRequestLine();
     error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    request_.parsed_bytes += used;
     if (error && error != http::error::need_more) {
-      OnParseError(error);
+      RejectRequest({kBadRequest, error.message()});
       return;
     }
-    if (parser_->is_header_done() && !header_seen_) OnHeader();
+    if (RejectIfTooLarge()) return;
+    if (parser_->is_header_done() && !header_seen_ && !AcceptHeader()) return;
     if (parser_->is_done()) {
       OnRequest();
       continue;
@@ -103,51 +159,131 @@
   }
 }
 
-void CallerConnection::OnHeader() {
-  header_seen_ = true;
-  if (!ExpectsContinue(parser_->get()) || parser_->is_done() ||
-      !pending_.empty() || writing_) {
-    return;
+bool CallerConnection::SkipEmptyLines() {
+  if (parser_->got_some()) return buffer_.size() > 0;
+  while (AsView(buffer_).substr(0, kLineEnd.size()) == kLineEnd &&
+         request_.empty_line_bytes < kMaxEmptyLineBytes) {
+    buffer_.consume(kLineEnd.size());
+    request_.empty_line_bytes += kLineEnd.size();
   }
-  outgoing_ += "HTTP/1.1 100 Continue\r\n\r\n";
-  WriteResponses();
+  // A line end may be incomplete.
+  return buffer_.size() > 0 && AsView(buffer_) != kLineEnd.substr(0, 1);
 }
 
-void CallerConnection::OnParseError(const error_code& error) {
-  if (error == http::error::header_limit) {
-    RejectRequest(kHeaderTooLarge, error.message());
-  } else if (error == http::error::body_limit) {
-    RejectRequest(kPayloadTooLarge, error.message());
-  } else {
-    RejectRequest(kBadRequest, error.message());
+void CallerConnection::NoteRequestLine() {
+  if (request_.request_line_bytes > 0) return;
+  // The parser consumes nothing before the request line is complete.
+  request_.request_line_bytes = AsView(buffer_).find('\n') + 1;
+}
+
+std::uint64_t CallerConnection::HeaderBytes() const {
+  // Of an incomplete header, the parser may leave a part in the buffer.
+  const std::uint64_t received =
+      request_.parsed_bytes + (parser_->is_header_done() ? 0 : buffer_.size());
+  return std::max(request_.request_line_bytes,
+                  received - request_.request_line_bytes);
+}
+
+std::uint64_t CallerConnection::BodyBytes() const {
+  return std::max<std::uint64_t>(parser_->content_length().value_or(0),
+                                 parser_->get().body().size());
+}
+
+bool CallerConnection::RejectIfTooLarge() {
+  if (!header_seen_ &&
+      RejectBySize(
+          JudgeSize(HeaderBytes(), request_.header_limit, kMaxHeldHeaderBytes),
+          "header", kHeaderTooLarge)) {
+    return true;
+  }
+  return parser_->is_header_done() &&
+         RejectBySize(
+             JudgeSize(BodyBytes(), request_.body_limit, kMaxHeldBodyBytes),
+             "body", kPayloadTooLarge);
+}
+
+bool CallerConnection::RejectBySize(const SizeVerdict& verdict,
+                                    std::string_view limit_name,
+                                    unsigned status) {
+  const std::string part(limit_name);
+  if (const auto* too_large = std::get_if<TooLarge>(&verdict)) {
+    RejectRequest(
+        {status, part + " limit exceeded", limit_name, too_large->limit, {}});
+    return true;
+  }
+  if (const auto* undecidable = std::get_if<Undecidable>(&verdict)) {
+    RejectRequest({kServiceUnavailable,
+                   "the " + part + " limit is not known yet", limit_name,
+                   SizeLimit{undecidable->max_held_bytes, 0}, kRetryAfter});
+    return true;
   }
+  return false;
+}
+
+bool CallerConnection::AcceptHeader() {
+  header_seen_ = true;
+  if (HidesLength(*parser_)) {
+    RejectRequest({kBadRequest, "the transfer coding hides the length"});
+    return false;
+  }
+  // Until here, each call parses no more than the header, so that the declared
+  // length is judged before memory is reserved for the body.
+  parser_->eager(true);
+  // A caller that sends the body already does not wait.
+  continue_due_ = ExpectsContinue(parser_->get()) && !parser_->is_done() &&
+                  buffer_.size() == 0;
+  SendContinueIfDue();
+  return true;
 }
 
-void CallerConnection::RejectRequest(unsigned status,
-                                     const std::string& problem) {
+void CallerConnection::SendContinueIfDue() {
+  if (!continue_due_ || !pending_.empty() || writing_) return;
+  continue_due_ = false;
+  outgoing_ += "HTTP/1.1 100 Continue\r\n\r\n";
+  WriteResponses();
+}
+
+void CallerConnection::RejectRequest(const Rejection& rejection) {
   accepts_requests_ = false;
   const auto fields = wire::ReadCallerFields(parser_->get());
   context_->metrics.Count("requests", "rejected");
-  context_->log.Write("request-rejected",
-                      {{"request", fields.request_id},
-                       {"status", static_cast<double>(status)},
-                       {"problem", problem}});
+  LogRejection(fields.request_id, rejection);
   auto pending = std::make_shared<PendingResponse>();
   pending->close_after = true;
   pending->response = CallerResponse{
-      status, wire::HostResponseFields(fields.request_id, std::nullopt),
-      problem + "\n", std::nullopt};
+      rejection.status,
+      wire::HostResponseFields(fields.request_id, rejection.retry_after),
+      rejection.problem + "\n", std::nullopt};
   pending_.push_back(std::move(pending));
-  context_->metrics.CountResponse(ResponseOrigin::kHost, status);
+  context_->metrics.CountResponse(ResponseOrigin::kHost, rejection.status);
   WriteResponses();
 }
 
+void CallerConnection::LogRejection(const std::string& request_id,
+                                    const Rejection& rejection) {
+  const auto read = request_.parsed_bytes + buffer_.size();
+  context_->log.Write(
+      "request-rejected",
+      {{"request", request_id},
+       {"status", static_cast<double>(rejection.status)},
+       {"problem", rejection.problem},
+       {"limit", rejection.limit_name},
+       {"limit_bytes", static_cast<double>(rejection.limit.bytes)},
+       {"limit_version", static_cast<double>(rejection.limit.version)},
+       {"read_bytes", static_cast<double>(read)},
+       {"first_on_connection", request_.first_on_connection ? "yes" : "no"}});
+}
+
 CallerRequest CallerConnection::TakeRequest() {
   http::request<http::string_body> message = parser_->release();
   const auto fields = wire::ReadCallerFields(message);
   CallerRequest request;
   request.method = std::string(AsView(message.method_string()));
   request.target = std::string(AsView(message.target()));
+  if (auto absolute = ParseAbsoluteTarget(request.target)) {
+    message.set(http::field::host, absolute->authority);
+    request.target = std::move(absolute->origin_form);
+  }
   request.authority = std::string(AsView(message[http::field::host]));
   request.request_id = fields.request_id;
   request.time_budget = fields.time_budget;
@@ -171,8 +307,22 @@
   pending->is_http_1_0 = parser_->get().version() < 11;
   accepts_requests_ = !pending->close_after;
   CallerRequest request = TakeRequest();
-  NewParser();
+  request_.first_on_connection = false;
+  BeginRequest();
   pending_.push_back(pending);
+  if (IsForHost(request)) {
+    context_->metrics.Count("requests", "answered");
+    context_->metrics.CountResponse(ResponseOrigin::kHost, kOk);
+    OnResponse(pending,
+               {kOk, wire::HostResponseFields(request.request_id, std::nullopt),
+                "", std::nullopt});
+  } else {
+    StartExchange(pending, std::move(request));
+  }
+}
+
+void CallerConnection::StartExchange(
+    const std::shared_ptr<PendingResponse>& pending, CallerRequest request) {
   pending->exchange = std::make_shared<Exchange>(
       context_, prober_, std::move(request),
       [self = shared_from_this(), pending](CallerResponse response) {
@@ -258,13 +408,16 @@
   }
   WriteResponses();
   ParseRequests();
-  if (buffer_.size() < kMaxUnparsedBytes) ReadSome();
+  SendContinueIfDue();
+  if (MayRead()) ReadSome();
 }
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
   if (!open_) return;
   const Duration idle_time = now - last_activity_;
   const CallerLimits limits = Limits();
+  // Notes limits that are in force only until the next read.
+  if (parser_->got_some()) ApplyLimitsInForce();
   if (send_closed_) {
     if (idle_time > kLingerTimeout) Close();
     return;
@@ -272,7 +425,7 @@
   if (IsBusy()) return;
   const bool in_request = parser_->got_some() || buffer_.size() > 0;
   if (in_request && idle_time > limits.header_timeout) {
-    RejectRequest(kRequestTimeout, "the request was not whole in time");
+    RejectRequest({kRequestTimeout, "the request was not whole in time"});
   } else if (!in_request && idle_time > limits.idle_timeout) {
     Close();
   }
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -18,12 +18,15 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "heatherlatch/admission/request_limits.h"
 #include "heatherlatch/traffic/exchange.h"
 
 namespace heatherlatch {
@@ -59,16 +62,57 @@
     bool is_http_1_0 = false;
   };
 
+  // What is known of the request being read.
+  struct RequestInProgress {
+    std::optional<SizeLimit> header_limit;  // Absent while none is known.
+    std::optional<SizeLimit> body_limit;
+    std::size_t empty_line_bytes = 0;      // Skipped before the request line.
+    std::uint64_t parsed_bytes = 0;        // Of head and body.
+    std::uint64_t request_line_bytes = 0;  // 0 until it is complete.
+    bool first_on_connection = true;
+  };
+
+  // Why a request is rejected, and what the caller is told.
+  struct Rejection {
+    unsigned status = 0;
+    std::string problem;
+    std::string_view limit_name = "none";  // Or "header" or "body".
+    SizeLimit limit = {};                  // Version 0: not published.
+    std::optional<Duration> retry_after = std::nullopt;
+  };
+
   CallerLimits Limits() const;
-  void NewParser();
+  void BeginRequest();
+  void ApplyLimitsInForce();
   void ReadSome();
   void OnRead(const boost::system::error_code& error, std::size_t size);
+  bool MayRead() const;
   void ParseRequests();
-  void OnHeader();
+  // Skips empty lines before a request line.
+  // @return whether the buffer begins with a part of a request
+  bool SkipEmptyLines();
+  void NoteRequestLine();
+  // @return bytes of the fields or of the request line, whichever are more, as
+  //     far as they were received
+  std::uint64_t HeaderBytes() const;
+  // @return bytes of the body, received or declared
+  std::uint64_t BodyBytes() const;
+  // @return whether the request was rejected for its size
+  bool RejectIfTooLarge();
+  bool RejectBySize(const SizeVerdict& verdict, std::string_view limit_name,
+                    unsigned status);
+  // @return false if the request was rejected
+  bool AcceptHeader();
+  // Asks for the body that the caller holds back, once the responses to earlier
+  // requests are written.
+  void SendContinueIfDue();
   void OnParseError(const boost::system::error_code& error);
   void OnRequest();
   CallerRequest TakeRequest();
-  void RejectRequest(unsigned status, const std::string& problem);
+  void StartExchange(const std::shared_ptr<PendingResponse>& pending,
+                     CallerRequest request);
+  void RejectRequest(const Rejection& rejection);
+  void LogRejection(const std::string& request_id, const Rejection& rejection);
   void OnResponse(const std::shared_ptr<PendingResponse>& pending,
                   CallerResponse response);
   void WriteResponses();
@@ -83,7 +127,9 @@
   LoadProber* prober_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
+  RequestInProgress request_;
   bool header_seen_ = false;
+  bool continue_due_ = false;  // The caller waits for 100 Continue.
   std::deque<std::shared_ptr<PendingResponse>> pending_;
   std::string outgoing_;
   bool open_ = true;
