Backend client: do not believe a refusal without ID on a kept connection

Callers saw: "not run" for a request that a server was running; the dispatcher then sent it to a second server, idempotent or not. Cause: a response without X-Request-Id was taken for the request in progress. A faulty server can write an earlier refusal once more on a kept connection, and a copy that arrives after the idle check is read as the next response. Change: over a kept connection a refusal needs the ID of the request, otherwise the outcome is unknown and the connection is closed. Over a new connection nothing can be repeated, so servers without the ID are supported as before.

--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -94,6 +94,7 @@
   const ResponseSink& sink;
   const std::string& request_id;
   ResponseHeadParser parser;
+  bool on_kept_connection = false;
   bool head_complete = false;
   bool has_leftovers = false;  // Bytes arrived after the final chunk.
   std::uint64_t head_bytes = 0;
@@ -124,6 +125,10 @@
   if (comparable && response_id != request_id) {
     return Fail(ExchangeFailure::kMalformedResponse);
   }
+  const bool may_be_repeated = on_kept_connection && !comparable;
+  if (parser.refusal() && may_be_repeated && !request_id.empty()) {
+    return Fail(ExchangeFailure::kMalformedResponse);
+  }
   head_complete = true;
   end.status = parser.head().status;
   end.server_status = parser.server_status();
@@ -209,6 +214,7 @@
                                    const ResponseSink& sink,
                                    TimePoint deadline) {
   Exchange exchange(request, sink);
+  exchange.on_kept_connection = idle_socket_ != CURL_SOCKET_BAD;
   HeaderLines header_lines(request.headers);
   SetMethod(request);
   curl_easy_setopt(easy_, CURLOPT_VERBOSE, 0L);
@@ -334,9 +340,9 @@
 curl_socket_t HttpConnection::OnOpenSocket(void* connection,
                                            curlsocktype /*purpose*/,
                                            curl_sockaddr* address) {
-  const Exchange& exchange =
-      *static_cast<HttpConnection*>(connection)->exchange_;
+  Exchange& exchange = *static_cast<HttpConnection*>(connection)->exchange_;
   if (exchange.end.sent) return CURL_SOCKET_BAD;
+  exchange.on_kept_connection = false;
   return socket(address->family, address->socktype | SOCK_CLOEXEC,
                 address->protocol);
 }
--- a/heatherlatch/backend/internal/http_connection.h
+++ b/heatherlatch/backend/internal/http_connection.h
@@ -32,8 +32,9 @@
   std::string target;
   HeaderList headers;
   std::string_view body;
-  // If this is not empty and the response has an `X-Request-Id` that differs,
-  // the response is rejected as malformed.
+  // If this is not empty, a response is rejected as malformed if it has an
+  // `X-Request-Id` that differs, or if it is a refusal without one and earlier
+  // responses were received on the connection: it may repeat one of them.
   std::string request_id;
 };
 
