Backend client: send a request only over connections that did not refuse it

Callers saw: "not run" for a request sent again under its ID that a server was running, after the server wrote its earlier refusal once more on the connection. Cause: the copy carries the ID of the request in progress, so nothing tells it from a refusal of this request. Change: a connection remembers the IDs of the requests that were refused on it; the pool closes it instead of choosing it for one of them. It is not reused after 128 refusals. Before: CHECK_FALSE( NotRunReasonOf(Call(&client, Get(server.endpoint()))) ) with expansion !{?}. The bound of 128 has no test.

--- a/heatherlatch/backend/backend_client.cc
+++ b/heatherlatch/backend/backend_client.cc
@@ -157,7 +157,8 @@
 
   ExchangeResult Run(const Endpoint& endpoint, const HttpRequest& request,
                      const ResponseSink& sink, TimePoint deadline) {
-    PooledConnection pooled = pool_.Acquire(endpoint, SteadyClock::now());
+    PooledConnection pooled =
+        pool_.Acquire(endpoint, request.request_id, SteadyClock::now());
     const ExchangeResult end = pooled.connection->Run(request, sink, deadline);
     if (end.reusable) pool_.Release(std::move(pooled), SteadyClock::now());
     return end;
--- a/heatherlatch/backend/backend_client_test.cc
+++ b/heatherlatch/backend/backend_client_test.cc
@@ -253,7 +253,7 @@
 TEST_CASE(
     "a refusal that is repeated on a kept connection is not taken for a "
     "request sent again under its ID",
-    "[known-red]") {
+    "[promise-06][promise-07]") {
   std::atomic<int> runs{0};
   RawServer server(
       RepeatRefusal("HTTP/1.1 503 No\r\nX-Not-Run: shed\r\n"
--- a/heatherlatch/backend/internal/connection_pool.cc
+++ b/heatherlatch/backend/internal/connection_pool.cc
@@ -11,6 +11,7 @@
 }  // namespace
 
 PooledConnection ConnectionPool::Acquire(const Endpoint& endpoint,
+                                         const std::string& request_id,
                                          TimePoint now) {
   while (true) {
     PooledConnection pooled;
@@ -31,7 +32,9 @@
       return pooled;
     }
     const bool expired = now - idle_since >= options_.idle_limit;
-    if (!expired && pooled.connection->IsIdleAndOpen()) return pooled;
+    const bool is_fit = !expired && pooled.connection->IsIdleAndOpen() &&
+                        !pooled.connection->HasRefused(request_id);
+    if (is_fit) return pooled;
   }
 }
 
--- a/heatherlatch/backend/internal/connection_pool.h
+++ b/heatherlatch/backend/internal/connection_pool.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 #include "heatherlatch/backend/backend_client.h"
@@ -30,8 +31,12 @@
  public:
   explicit ConnectionPool(BackendClientOptions options) : options_(options) {}
 
-  // @return an open idle connection, or a new one that connects on first use
-  PooledConnection Acquire(const Endpoint& endpoint, TimePoint now);
+  // @param request_id  the request that the connection is to carry; empty for
+  //                    one without ID
+  // @return an open idle connection on which the request was not refused
+  //     before, or a new one that connects on first use
+  PooledConnection Acquire(const Endpoint& endpoint,
+                           const std::string& request_id, TimePoint now);
 
   // Returns a connection whose exchange ended with a complete response. It is
   // closed if the connections to the server have been invalidated since, or if
--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -15,6 +15,9 @@
 
 constexpr long kReceiveBufferBytes = 65536;  // NOLINT(google-runtime-int)
 
+// Refused requests that a connection remembers.
+constexpr std::size_t kMaxRefusedRequests = 128;
+
 // Prefix of the debug message that libcurl writes when it discards bytes after
 // the final chunk of a body. libcurl reports this in no other way.
 constexpr std::string_view kLeftoversText = "Leftovers after chunking";
@@ -244,7 +247,11 @@
   // libcurl returns the socket only while the handle belongs to `multi_`.
   curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idle_socket_);
   curl_multi_remove_handle(multi_, easy_);
-  end.reusable = !end.failure && ReceivedOnlyResponse(exchange);
+  if (end.refusal && !request.request_id.empty()) {
+    refused_requests_.insert(request.request_id);
+  }
+  end.reusable = !end.failure && ReceivedOnlyResponse(exchange) &&
+                 refused_requests_.size() <= kMaxRefusedRequests;
   exchange_ = nullptr;
   end.total = SteadyClock::now() - exchange.start;
   return end;
--- a/heatherlatch/backend/internal/http_connection.h
+++ b/heatherlatch/backend/internal/http_connection.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -75,6 +76,12 @@
   ExchangeResult Run(const HttpRequest& request, const ResponseSink& sink,
                      TimePoint deadline);
 
+  // @return whether the server refused a request of this ID on this connection,
+  //     so that a copy of the refusal could be taken for the next response
+  bool HasRefused(const std::string& request_id) const {
+    return refused_requests_.count(request_id) > 0;
+  }
+
   // @return whether the idle connection is open and has no unread bytes
   bool IsIdleAndOpen() const;
 
@@ -107,6 +114,7 @@
   Exchange* exchange_ = nullptr;      // Set during `Run`.
   std::uint64_t bytes_received_ = 0;  // At the end of the last exchange.
   curl_socket_t idle_socket_ = CURL_SOCKET_BAD;  // Open between exchanges.
+  std::set<std::string> refused_requests_;       // IDs.
 };
 
 }  // namespace heatherlatch::internal
