--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -15,6 +15,9 @@
 
 constexpr long kReceiveBufferBytes = 65536;  // NOLINT(google-runtime-int)
 
+// Refused requests that a connection remembers.
+constexpr std::size_t kMaxRefusedRequests = 128;
+
 // Prefix of the debug message that libcurl writes when it discards bytes after
 // the final chunk of a body. libcurl reports this in no other way.
 constexpr std::string_view kLeftoversText = "Leftovers after chunking";
@@ -94,6 +97,7 @@
   const ResponseSink& sink;
   const std::string& request_id;
   ResponseHeadParser parser;
+  bool on_kept_connection = false;
   bool head_complete = false;
   bool has_leftovers = false;  // Bytes arrived after the final chunk.
   std::uint64_t head_bytes = 0;
@@ -124,6 +128,10 @@
   if (comparable && response_id != request_id) {
     return Fail(ExchangeFailure::kMalformedResponse);
   }
+  const bool may_be_repeated = on_kept_connection && !comparable;
+  if (parser.refusal() && may_be_repeated && !request_id.empty()) {
+    return Fail(ExchangeFailure::kMalformedResponse);
+  }
   head_complete = true;
   end.status = parser.head().status;
   end.server_status = parser.server_status();
@@ -209,6 +217,7 @@
                                    const ResponseSink& sink,
                                    TimePoint deadline) {
   Exchange exchange(request, sink);
+  exchange.on_kept_connection = idle_socket_ != CURL_SOCKET_BAD;
   HeaderLines header_lines(request.headers);
   SetMethod(request);
   curl_easy_setopt(easy_, CURLOPT_VERBOSE, 0L);
@@ -238,7 +247,11 @@
   // libcurl returns the socket only while the handle belongs to `multi_`.
   curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idle_socket_);
   curl_multi_remove_handle(multi_, easy_);
-  end.reusable = !end.failure && ReceivedOnlyResponse(exchange);
+  if (end.refusal && !request.request_id.empty()) {
+    refused_requests_.insert(request.request_id);
+  }
+  end.reusable = !end.failure && ReceivedOnlyResponse(exchange) &&
+                 refused_requests_.size() <= kMaxRefusedRequests;
   exchange_ = nullptr;
   end.total = SteadyClock::now() - exchange.start;
   return end;
@@ -334,9 +347,9 @@
 curl_socket_t HttpConnection::OnOpenSocket(void* connection,
                                            curlsocktype /*purpose*/,
                                            curl_sockaddr* address) {
-  const Exchange& exchange =
-      *static_cast<HttpConnection*>(connection)->exchange_;
+  Exchange& exchange = *static_cast<HttpConnection*>(connection)->exchange_;
   if (exchange.end.sent) return CURL_SOCKET_BAD;
+  exchange.on_kept_connection = false;
   return socket(address->family, address->socktype | SOCK_CLOEXEC,
                 address->protocol);
 }
