Answer no 404 after a newer route table that cannot be read

Callers got 404 for the routes of a published table that the host had refused, while the store's confirmations went on and made the older table look current.

Cause: a refused table left no trace but a log line. TableConfirmation now records whether the table held is the newest one received, and DecideUnrouted requires it. A table with a lower version at a higher revision, which was ignored in silence, is logged as configuration-refused and counts alike; it does not replace the newer one.

--- a/heatherlatch/routing/table_confirmation.h
+++ b/heatherlatch/routing/table_confirmation.h
@@ -21,6 +21,9 @@
   std::optional<TimePoint> confirmed_at;
   // Where that confirmation came from.
   ItemOrigin origin;
+  // Whether the table is the newest one received. False: a newer one could not
+  // be read.
+  bool is_newest = true;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/routing/unrouted_decision.cc
+++ b/heatherlatch/routing/unrouted_decision.cc
@@ -6,7 +6,7 @@
 
 UnroutedDecision DecideUnrouted(const TableConfirmation& confirmation,
                                 TimePoint now) {
-  if (!confirmation.confirmed_at ||
+  if (!confirmation.is_newest || !confirmation.confirmed_at ||
       now - *confirmation.confirmed_at > kMaxConfirmationAge) {
     return NotConfirmed{};
   }
--- a/heatherlatch/routing/unrouted_decision.h
+++ b/heatherlatch/routing/unrouted_decision.h
@@ -25,9 +25,9 @@
 struct NotConfirmed {};
 using UnroutedDecision = std::variant<NoSuchRoute, NotConfirmed>;
 
-// @return NoSuchRoute if the store confirmed the table at most
-//     `kMaxConfirmationAge` before `now`, otherwise NotConfirmed. Within that
-//     age, a configuration that may be in force lacks the route.
+// @return NoSuchRoute if the table is the newest one and the store confirmed it
+//     at most `kMaxConfirmationAge` before `now`, otherwise NotConfirmed.
+//     Within that age, a configuration that may be in force lacks the route.
 UnroutedDecision DecideUnrouted(const TableConfirmation& confirmation,
                                 TimePoint now);
 
--- a/heatherlatch/routing/unrouted_decision_test.cc
+++ b/heatherlatch/routing/unrouted_decision_test.cc
@@ -23,6 +23,13 @@
                          kConfirmedAt + kMaxConfirmationAge + Duration(1)));
 }
 
+TEST_CASE("a route is not denied after a newer table that cannot be read") {
+  TableConfirmation confirmation;
+  confirmation.confirmed_at = kConfirmedAt;
+  confirmation.is_newest = false;
+  CHECK_FALSE(IsNotFound(confirmation, kConfirmedAt));
+}
+
 TEST_CASE("a confirmation counts alike from the store and from a peer") {
   TableConfirmation confirmation;
   confirmation.confirmed_at = kConfirmedAt;
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -282,7 +282,8 @@
   choice_.OnResponse(source_, now - queried_at_, now);
   TableConfirmation& confirmation = context_->table_confirmation;
   if (confirmation.confirmed_at.value_or(confirmed_at) <= confirmed_at) {
-    confirmation = {confirmed_at, {source_, hops_}};
+    confirmation.confirmed_at = confirmed_at;
+    confirmation.origin = {source_, hops_};
   }
   failures_ = 0;
   if (stale_) MarkUpToDate(now);
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -250,7 +250,9 @@
 
 void TrafficHost::ApplyRouteTable(const PublishedItem& item,
                                   const ItemOrigin& origin) {
+  bool& is_newest = context_.table_confirmation.is_newest;
   const auto refuse = [&](std::string_view problem) {
+    is_newest = false;
     context_.log.Write("configuration-refused",
                        {{"problem", problem},
                         {"revision", static_cast<double>(item.revision)},
@@ -262,7 +264,12 @@
         BOOST_LEAF_AUTO(table, wire::ReadRouteTable(item.value));
         const std::uint64_t known =
             context_.routes ? context_.routes->version : 0;
-        if (table.version <= known) return {};
+        if (table.version < known) {
+          refuse("the version is lower than the one in force");
+          return {};
+        }
+        is_newest = true;
+        if (table.version == known) return {};
         context_.log.Write("configuration",
                            {{"version", static_cast<double>(table.version)},
                             {"before", static_cast<double>(known)},
