Receive a large configuration over a slow link

Callers of hosts on the slowest links got answers by an old table, or 503 from hosts that never became ready, as soon as the published configuration was large.

Cause: a response of the store or of a peer had to be complete 700 or 350 ms after the wait of its query. The largest configuration, 1 MB as published and 1.4 MB in a response, takes 1.1 s at 10 Mbit/s. The host cut each transfer and began the next.

The time-out now counts to the first byte. A response that has begun may pause for 700 ms and take 4 s in total, so a source that sends endlessly slowly is left as before. A confirmation counts from the first byte of its response, since the response was made before a long transfer; that of a list from its first page.

ClientConnection reports when the bytes of a response were received; its other behaviour is unchanged.

--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -86,6 +86,7 @@
   request_ = std::move(request);
   done_ = std::move(done);
   request_started_ = false;
+  transfer_.reset();
   NewParser(is_head);
   if (!open_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -140,6 +141,8 @@
     return;
   }
   buffer_.commit(size);
+  const TimePoint now = SteadyClock::now();
+  transfer_ = Transfer{transfer_ ? transfer_->began_at : now, now};
   if (!done_ || !request_started_) {
     Abort("received bytes while no request was in progress");
     return;
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -68,6 +68,15 @@
   // connection.
   void Cancel();
 
+  // When the bytes of one response were received.
+  struct Transfer {
+    TimePoint began_at;  // Of the first byte.
+    TimePoint last_at;   // Of the last bytes so far.
+  };
+  // @return the transfer of the response to the call in progress or, when none
+  //     is, to the last one; absent while no byte of it was received
+  const std::optional<Transfer>& transfer() const { return transfer_; }
+
   // @return whether another call may be made
   bool IsReusable() const { return open_ && !done_; }
   TimePoint idle_since() const { return idle_since_; }
@@ -104,6 +113,7 @@
   std::unique_ptr<Parser> parser_;
   boost::beast::flat_buffer buffer_;
   TimePoint idle_since_;
+  std::optional<Transfer> transfer_;
 };
 
 // Sets TCP keep-alive and the user timeout, so that a dead path is detected
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -17,15 +17,22 @@
 // shortest bound on following a change.
 constexpr milliseconds kReaderWatchWait{1000};
 constexpr milliseconds kNonReaderWatchWait{3000};
-// How long a response of the store may take beyond the wait. The slowest
-// specified store takes 240 ms.
+// How long a response of the store may take beyond the wait until its first
+// byte. The slowest specified store takes 240 ms.
 constexpr Duration kStoreResponseMargin = milliseconds(700);
 
-// How long a query to another host waits for a change, and how long the
-// response may take beyond that. Bounded as kReaderWatchWait.
+// How long a query to another host waits for a change, and how long the first
+// byte of the response may take beyond that. Bounded as kReaderWatchWait.
 constexpr milliseconds kPeerQueryWait{600};
 constexpr Duration kPeerResponseMargin = milliseconds(350);
 
+// How long a response that has begun may pause, and how long it may take in
+// total. The largest published value, 1.4 MB as the store encodes it, takes
+// 1.1 s over the slowest link and 3.4 s if other transfers use two thirds of
+// it.
+constexpr Duration kTransferPause = milliseconds(700);
+constexpr Duration kMaxTransferTime = std::chrono::seconds(4);
+
 // Delay between a change and the next request to the store, so that changes are
 // received in batches: a sixth of the shortest bound on following a change.
 constexpr Duration kChangeBatchDelay = milliseconds(400);
@@ -163,18 +170,35 @@
   connection_->Call(
       std::move(request), false,
       [this, call_id](const CallResult& result) { OnResult(call_id, result); });
-  ArmTimeout(call_id, timeout);
+  ArmTimeout(call_id, queried_at_ + timeout);
 }
 
-void PublishedFeed::ArmTimeout(std::size_t call_id, Duration timeout) {
-  timer_.expires_after(timeout);
+void PublishedFeed::ArmTimeout(std::size_t call_id, TimePoint deadline) {
+  timer_.expires_at(deadline);
   timer_.async_wait([this, call_id](const boost::system::error_code& error) {
     if (error || call_id != call_id_) return;
+    const TimePoint transfer_deadline = TransferDeadline();
+    if (transfer_deadline > SteadyClock::now()) {
+      ArmTimeout(call_id, transfer_deadline);
+      return;
+    }
     ++call_id_;
-    OnFailure("no response within the timeout", true);
+    OnFailure("no complete response within the timeout", true);
   });
 }
 
+TimePoint PublishedFeed::TransferDeadline() const {
+  const auto& transfer = connection_->transfer();
+  if (!transfer) return TimePoint::min();
+  return std::min(transfer->last_at + kTransferPause,
+                  transfer->began_at + kMaxTransferTime);
+}
+
+TimePoint PublishedFeed::ResponseBeganAt() const {
+  const auto& transfer = connection_->transfer();
+  return transfer ? transfer->began_at : SteadyClock::now();
+}
+
 void PublishedFeed::OnResult(std::size_t call_id, const CallResult& result) {
   if (call_id != call_id_ || stopped_) return;
   ++call_id_;
@@ -223,18 +247,19 @@
 
 Result<void> PublishedFeed::OnStoreResponse(const std::string& body) {
   BOOST_LEAF_AUTO(page, wire::ReadStorePage(body));
-  const TimePoint now = SteadyClock::now();
+  const TimePoint made_at = ResponseBeganAt();
   hops_ = 0;
   if (has_complete_list_) {
     Merge(ToFeedPage(page, false), hops_);
     FinishSuccessfulQuery(
-        now, page.items.empty() ? Duration::zero() : kChangeBatchDelay);
+        made_at, page.items.empty() ? Duration::zero() : kChangeBatchDelay);
     return {};
   }
   // The pages are not a snapshot. The revision of the first page is kept, so
   // that changes since then are read again by the next request.
   if (partial_list_.items.empty()) {
     partial_list_ = ToFeedPage({{}, false, page.revision}, true);
+    list_began_at_ = made_at;
   }
   partial_list_.items.insert(partial_list_.items.end(), page.items.begin(),
                              page.items.end());
@@ -249,7 +274,7 @@
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
                  {"revision", static_cast<double>(complete_list.revision)}});
-  FinishSuccessfulQuery(now, Duration::zero());
+  FinishSuccessfulQuery(list_began_at_, Duration::zero());
   return {};
 }
 
@@ -271,7 +296,7 @@
   partial_list_ = {};
   followed_peer_ = std::get<PeerSource>(source_).endpoint;
   hops_ = response.hops + 1;
-  FinishSuccessfulQuery(now - response.age,
+  FinishSuccessfulQuery(ResponseBeganAt() - response.age,
                         has_changes ? kChangeBatchDelay / 4 : Duration::zero());
   return {};
 }
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -82,8 +82,13 @@
   void QueryNextSource();
   void QueryStore();
   void QueryPeer(const Endpoint& peer);
+  // @param timeout  until the first byte of the response
   void Call(const Endpoint& endpoint, std::string request, Duration timeout);
-  void ArmTimeout(std::size_t call_id, Duration timeout);
+  void ArmTimeout(std::size_t call_id, TimePoint deadline);
+  // @return until when the response may be received, as far as it was received
+  TimePoint TransferDeadline() const;
+  // @return when the source made the response that has been received
+  TimePoint ResponseBeganAt() const;
 
   void OnResult(std::size_t call_id, const CallResult& result);
   Result<void> OnResponse(const http::response<http::string_body>& response);
@@ -136,8 +141,9 @@
   // Whether all items up to `items_.revision()` are known, so that the store
   // can be queried for later changes only.
   bool has_complete_list_ = false;
-  FeedPage partial_list_;  // The pages of the list read so far.
-  int failures_ = 0;       // Consecutive failed queries.
+  FeedPage partial_list_;    // The pages of the list read so far.
+  TimePoint list_began_at_;  // When the first of these pages was made.
+  int failures_ = 0;         // Consecutive failed queries.
   // Set by a timeout or a repeated failure if the last query to the store
   // failed too; cleared by the next success.
   bool stale_ = false;
