Apply a route table of which one route cannot be read

Callers of all other routes of such a table got answers by the previous table: 404 for added routes, the previous services for moved ones.

Cause: ReadRouteTable failed as a whole if one route lacked a field or had one of another type. A route whose host and prefix can be read now stays in the table without services. Its requests are refused as not run (503, no-server), and none of them is run by a route with a shorter prefix. The event route-refused names the route.

Before, "a route that cannot be read does not hide the others of its table": CHECK( Eventually(... status == 200) ) false, CHECK( Call(/a/c/).status == 503 ) with 200 == 503. Now it passes, as do platform_adapter_test (13 cases) and the other cases of configurations in platform_host_test.

--- a/heatherlatch/routing/route_table.h
+++ b/heatherlatch/routing/route_table.h
@@ -36,6 +36,7 @@
   Duration latency_target{};
   int max_attempts = 1;  // Backend servers that one request may be sent to.
   int priority = 0;      // 0 is the highest priority.
+  // Empty: the route cannot be read, and its requests are refused as not run.
   std::vector<WeightedService> weighted_services;
   std::vector<RegionName> home_regions;  // Empty: any region.
 };
@@ -58,6 +59,7 @@
 struct RouteTable {
   std::uint64_t version = 0;
   std::vector<TrafficRoute> routes;
+  std::vector<RouteName> unreadable_routes;  // In `routes` too.
   std::map<ServiceName, ServiceSettings> services;
   CallerLimits limits;
 
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -275,6 +275,9 @@
                             {"before", static_cast<double>(known)},
                             {"source", ToString(origin.source)},
                             {"hops", static_cast<double>(origin.hops)}});
+        for (const RouteName& route : table.unreadable_routes) {
+          context_.log.Write("route-refused", {{"route", route.str()}});
+        }
         context_.routes = std::make_shared<const RouteTable>(std::move(table));
         return {};
       },
