Show that hosts that follow a reader keep a confirmed table

A host may send 404 only from a confirmed table, so hosts in an ordinary state must have one at all times.

--- a/heatherlatch/relay/relay_model_test.cc
+++ b/heatherlatch/relay/relay_model_test.cc
@@ -65,6 +65,26 @@
     }
   }
 
+  // @return the greatest age of a host's confirmation by the store while no
+  // host
+  //     is refused and the store changes now and then
+  Duration GreatestConfirmationAge() {
+    Run(seconds(4));
+    Duration greatest{};
+    const TimePoint until = now_ + kRefusalPeriod;
+    while (now_ < until) {
+      ++store_revision_;
+      const int steps = std::uniform_int_distribution<int>(1, 150)(rng_);
+      for (int step = 0; step < steps; ++step) {
+        Run(kStep);
+        for (const Host& host : hosts_) {
+          greatest = std::max(greatest, now_ - host.confirmed_at);
+        }
+      }
+    }
+    return greatest;
+  }
+
   // @return how long a change took to reach the slowest host, over several
   //     changes while the store refuses each host with this probability
   Duration SlowestPropagation(double refusal_probability) {
@@ -212,5 +232,16 @@
   }
 }
 
+TEST_CASE("a host that follows a reader is never without a confirmation",
+          "[promise-10]") {
+  Duration greatest{};
+  for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kSeeds; ++seed) {
+    greatest = std::max(greatest, Deployment(seed).GreatestConfirmationAge());
+  }
+  std::cout << "greatest age of a confirmation: " << ToMilliseconds(greatest)
+            << " ms\n";
+  CHECK(greatest <= kMaxConfirmationAge);
+}
+
 }  // namespace
 }  // namespace heatherlatch
