--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -78,6 +78,15 @@
   //     taken for the response to the request
   bool MayRepeatResponseTo(std::string_view request_id) const;
 
+  // When the bytes of one response were received.
+  struct Transfer {
+    TimePoint began_at;  // Of the first byte.
+    TimePoint last_at;   // Of the last bytes so far.
+  };
+  // @return the transfer of the response to the call in progress or, when none
+  //     is, to the last one; absent while no byte of it was received
+  const std::optional<Transfer>& transfer() const { return transfer_; }
+
   // @return whether another call may be made
   bool IsReusable() const { return open_ && !done_; }
   TimePoint idle_since() const { return idle_since_; }
@@ -115,6 +124,7 @@
   boost::beast::flat_buffer buffer_;
   TimePoint idle_since_;
   std::vector<std::size_t> failed_requests_;  // Hashes of their IDs.
+  std::optional<Transfer> transfer_;
 };
 
 // Sets TCP keep-alive and the user timeout, so that a dead path is detected
