Bound the interim responses that are read for one request

Callers saw: 504 only at the deadline when a server sent 1xx responses without end, and the host read and parsed them all the while. Cause: each interim response was skipped and the next one awaited, without a bound. Change: after 16 the connection is closed; the request may have run.

--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -91,6 +91,7 @@
   request_ = std::move(request);
   done_ = std::move(done);
   request_started_ = false;
+  interim_responses_ = 0;
   NewParser(is_head);
   if (!open_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -166,6 +167,10 @@
     const unsigned status =
         parser_->is_header_done() ? parser_->get().result_int() : 0;
     if (parser_->is_done() && status >= 100 && status < 200) {
+      if (++interim_responses_ > kMaxInterimResponses) {
+        Abort("too many interim responses");
+        return;
+      }
       NewParser(parser_->skip());
     }
     if (used == 0) return;
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -53,6 +53,9 @@
 // download is 1.1 MB; the bound leaves room for larger ones.
 inline constexpr std::uint64_t kMaxResponseBytes = 8u << 20;
 
+// The interim responses (status 1xx) to one request that are read.
+inline constexpr int kMaxInterimResponses = 16;
+
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   // Starts to connect. `Call` may be used before the connection is established.
@@ -109,6 +112,7 @@
   bool connected_ = false;
   bool request_started_ = false;
   bool writing_ = false;
+  int interim_responses_ = 0;  // To the call in progress.
   std::string request_;
   CallDone done_;
   std::unique_ptr<Parser> parser_;
