--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -1,10 +1,10 @@
 // Handles one request of a caller, from its receipt to the response.
 //
 // Probes the load of a few candidate servers, sends the request to the best of
-// them, and validates the response. Retries and hedges requests of idempotent
-// routes within the retry budget. A request of any other route is sent again
-// only if the server stated that it did not execute it, or if the connection
-// failed before a byte was sent.
+// them, and relays the response if `ClassifyResponse` permits it. Retries and
+// hedges requests of idempotent routes within the retry budget. A request of
+// any other route is sent again only if the server stated that it did not
+// execute it, or if the connection failed before a byte was sent.
 //
 // Example:
 //   auto exchange = std::make_shared<Exchange>(
