--- a/heatherlatch/backend/testing/raw_server.h
+++ b/heatherlatch/backend/testing/raw_server.h
@@ -47,8 +47,16 @@
     return bytes;
   }
 
-  void Send(const std::string& bytes) const {
-    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  // @return whether the connection accepted all bytes
+  bool Send(const std::string& bytes) const {
+    const ssize_t sent =
+        send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return sent == static_cast<ssize_t>(bytes.size());
+  }
+
+  // Limits the bytes that the kernel accepts before the peer reads them.
+  void LimitSendBuffer(int bytes) const {
+    setsockopt(socket_, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
   }
 
   // Closes the sending side of the connection.
