Read the memory limit of a traffic host from its settings

The platform ends a process above limits.memoryMb, and the host did not know that figure, so no bound on what it holds could follow from it. The template passes it as `memory_limit_mb`. An empty value has the default of 160, the smallest host in the users' sheets; the test shows that an empty field is accepted and that text and values below 32 are reported.

--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -16,6 +16,16 @@
 constexpr Range<Duration> kFirstWaitRange{Duration::zero(),
                                           std::chrono::minutes(1)};
 constexpr Range<double> kRetryShareRange{0, 1};
+constexpr Range<double> kMemoryLimitRange{32, 1'000'000};
+constexpr double kBytesPerMegabyte = 1'000'000;
+
+void ReadMemoryLimit(MappingReader* reader, TrafficHostSettings* settings) {
+  const std::optional<double> megabytes =
+      reader->Number("memory_limit_mb", kOptional, kMemoryLimitRange);
+  if (!megabytes) return;
+  settings->memory_limit_bytes =
+      static_cast<std::uint64_t>(*megabytes * kBytesPerMegabyte);
+}
 
 void ReadZones(MappingReader* reader, TrafficHostSettings* settings) {
   const std::optional<YAML::Node> zones = reader->Mapping("zones", kRequired);
@@ -62,6 +72,7 @@
                   &settings.first_wait);
   AssignIfPresent(reader.Number("retry_share", kOptional, kRetryShareRange),
                   &settings.retry_share);
+  ReadMemoryLimit(&reader, &settings);
   reader.Finish();
   if (!context.findings.empty()) return std::move(context.findings);
   return settings;
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -8,6 +8,7 @@
 #ifndef HEATHERLATCH_SETTINGS_TRAFFIC_HOST_SETTINGS_H_
 #define HEATHERLATCH_SETTINGS_TRAFFIC_HOST_SETTINGS_H_
 
+#include <cstdint>
 #include <map>
 #include <string_view>
 #include <variant>
@@ -40,6 +41,9 @@
   // regions, and the transfer of the list over the slowest link in the users'
   // sheets.
   Duration first_wait = std::chrono::milliseconds(400);
+  // Memory above which the platform ends the process. The default is that of
+  // the smallest host in the users' sheets.
+  std::uint64_t memory_limit_bytes = 160'000'000;
   // Retry budget: the share of requests that may be sent a second time, 0 to 1.
   double retry_share = 0.2;
 };
--- a/heatherlatch/settings/traffic_host_settings_test.cc
+++ b/heatherlatch/settings/traffic_host_settings_test.cc
@@ -19,6 +19,7 @@
 stop_wait: 6s
 first_wait: 250ms
 retry_share: 0.2
+memory_limit_mb: 260
 )";
 
 std::vector<Finding> FindingsOf(const std::string& yaml) {
@@ -39,6 +40,26 @@
   CHECK(settings.stop_wait == std::chrono::seconds(6));
   CHECK(settings.first_wait == std::chrono::milliseconds(250));
   CHECK(settings.retry_share == 0.2);
+  CHECK(settings.memory_limit_bytes == 260'000'000);
+}
+
+TEST_CASE("a memory limit that the platform leaves empty has its default") {
+  std::string text = kFile;
+  text.replace(text.find(": 260"), 5, ":");
+  const auto result = ReadTrafficHostSettings(text);
+  REQUIRE(std::holds_alternative<TrafficHostSettings>(result));
+  CHECK(std::get<TrafficHostSettings>(result).memory_limit_bytes ==
+        TrafficHostSettings().memory_limit_bytes);
+}
+
+TEST_CASE("a memory limit that is no number or too small is reported") {
+  for (const char* value : {": MB", ": 3"}) {
+    std::string text = kFile;
+    text.replace(text.find(": 260"), 5, value);
+    const auto findings = FindingsOf(text);
+    REQUIRE(findings.size() == 1);
+    CHECK(findings[0].field == "memory_limit_mb");
+  }
 }
 
 TEST_CASE("each invalid setting of a traffic host is reported with its line") {
@@ -52,7 +73,7 @@
   CHECK(findings[0].line == 5);
   CHECK(findings[1].field == "seeds");
   CHECK(findings[2].kind == FindingKind::kUnknownKey);
-  CHECK(findings[2].line == 15);
+  CHECK(findings[2].line == 16);
   CHECK(FindingsOf("host: a\n").size() == 6);
 }
 
