Bound the bytes that a host holds for responses by its memory

What callers saw, and what ends a host: a server that sends interim responses without end got 504 at the deadline instead of 502 or a retry; chunk extensions and trailers without end were held without any bound; and a body was bounded at 8 MB each, so that a few of them exceed a host of 160 MB, which the platform then kills.

Cause: the parser's limit covers the head only, interim responses were not counted, and no bound was common to all responses.

The connection now bounds each part of a response: the head and each line of the framing at 8 KB, eight interim responses, and the body both at 8 MB and by the byte budget of the host, half of its memory limit. A length is taken from the budget when the head is read, before the parser allocates it; a body without length as it grows. A response to a load probe has at most 16 KB. What the store or a peer publishes is held even beyond the budget, one response at a time. At a bound the connection closes at once and the request continues as after a lost response: 502, or the next attempt if it is idempotent. The reservation travels with the body, which is moved instead of copied into the response to the caller. A request is refused with 503 only if not even an average body would have room.

--- a/heatherlatch/base/outcome.cc
+++ b/heatherlatch/base/outcome.cc
@@ -38,6 +38,8 @@
       return "suspected-of-crashing-servers";
     case NotRunReason::kCallerDisconnected:
       return "caller-gone";
+    case NotRunReason::kOutOfMemory:
+      return "out-of-memory";
   }
   return "not-run";
 }
--- a/heatherlatch/base/outcome.h
+++ b/heatherlatch/base/outcome.h
@@ -34,6 +34,7 @@
   kHostStopping,
   kSuspectedOfCrashingServers,
   kCallerDisconnected,
+  kOutOfMemory,  // The host could not have held the response.
 };
 
 // Why it is not known whether a request ran.
--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -32,6 +32,20 @@
 
 }  // namespace
 
+std::string_view ToString(ResponseBound bound) {
+  switch (bound) {
+    case ResponseBound::kHead:
+      return "head";
+    case ResponseBound::kInterim:
+      return "interim";
+    case ResponseBound::kBody:
+      return "body";
+    case ResponseBound::kBudget:
+      return "budget";
+  }
+  return "";
+}
+
 void SetLivenessOptions(asio::ip::tcp::socket* socket) {
   const int handle = socket->native_handle();
   SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -44,9 +58,10 @@
 }
 
 std::shared_ptr<ClientConnection> ClientConnection::Open(
-    asio::io_context* io, const Endpoint& endpoint) {
+    asio::io_context* io, const Endpoint& endpoint,
+    std::shared_ptr<ByteBudget> budget) {
   std::shared_ptr<ClientConnection> connection(
-      new ClientConnection(io, endpoint));
+      new ClientConnection(io, endpoint, std::move(budget)));
   connection->Connect();
   return connection;
 }
@@ -82,11 +97,15 @@
   ReadSome();
 }
 
-void ClientConnection::Call(std::string request, bool is_head, CallDone done) {
+void ClientConnection::Call(std::string request, const ResponseBounds& bounds,
+                            CallDone done) {
   request_ = std::move(request);
   done_ = std::move(done);
   request_started_ = false;
-  NewParser(is_head);
+  bounds_ = bounds;
+  held_ = ByteReservation(budget_);
+  interim_responses_ = 0;
+  NewParser();
   if (!open_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
       self->Finish(
@@ -97,11 +116,11 @@
   if (connected_) WriteRequest();
 }
 
-void ClientConnection::NewParser(bool is_head) {
+void ClientConnection::NewParser() {
   parser_ = std::make_unique<Parser>();
-  parser_->eager(true);
-  parser_->body_limit(kMaxResponseBytes);
-  parser_->skip(is_head);
+  parser_->header_limit(kMaxResponseHeadBytes);
+  parser_->body_limit(bounds_.max_body_bytes);
+  parser_->skip(bounds_.is_head);
 }
 
 void ClientConnection::WriteRequest() {
@@ -150,37 +169,92 @@
 
 void ClientConnection::ParseResponse() {
   while (buffer_.size() > 0 && !parser_->is_done()) {
-    error_code error;
-    const std::size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
-    if (error == http::error::need_more) return;
-    if (error) {
-      Abort("invalid response: " + error.message());
-      return;
-    }
-    const unsigned status =
-        parser_->is_header_done() ? parser_->get().result_int() : 0;
-    if (parser_->is_done() && status >= 100 && status < 200) {
-      NewParser(parser_->skip());
-    }
-    if (used == 0) return;
+    if (!ParseSome()) return;
   }
   if (parser_->is_done()) FinishResponse();
 }
 
+bool ClientConnection::ParseSome() {
+  const bool in_head = !parser_->is_header_done();
+  if (!in_head && !HoldBody()) return false;
+  error_code error;
+  const std::size_t used = parser_->put(buffer_.data(), error);
+  buffer_.consume(used);
+  if (error == http::error::need_more) {
+    // An incomplete head, or an incomplete line of the framing.
+    if (buffer_.size() >= kMaxResponseHeadBytes) Cut(ResponseBound::kHead);
+    return false;
+  }
+  if (error) {
+    OnParseError(error);
+    return false;
+  }
+  if (in_head && parser_->is_header_done()) return OnHead();
+  return used > 0;
+}
+
+bool ClientConnection::OnHead() {
+  const unsigned status = parser_->get().result_int();
+  if (status >= 100 && status < 200) {
+    if (++interim_responses_ > kMaxInterimResponses) {
+      Cut(ResponseBound::kInterim);
+      return false;
+    }
+    NewParser();
+    return true;
+  }
+  parser_->eager(true);
+  const auto length = parser_->content_length();
+  return parser_->is_done() || !length || Hold(*length, kBodyShareWithLength);
+}
+
+bool ClientConnection::HoldBody() {
+  if (parser_->content_length()) return true;  // Held since the head.
+  return Hold(parser_->get().body().size() + buffer_.size(),
+              kBodyShareWithoutLength);
+}
+
+bool ClientConnection::Hold(std::uint64_t bytes, double share) {
+  if (bounds_.is_essential) {
+    held_.GrowTo(bytes);
+    return true;
+  }
+  if (held_.TryGrowTo(bytes, share)) return true;
+  Cut(ResponseBound::kBudget);
+  return false;
+}
+
+void ClientConnection::OnParseError(const error_code& error) {
+  if (error == http::error::header_limit) {
+    Cut(ResponseBound::kHead);
+  } else if (error == http::error::body_limit) {
+    Cut(ResponseBound::kBody);
+  } else {
+    Abort("invalid response: " + error.message());
+  }
+}
+
+void ClientConnection::Cut(ResponseBound bound) {
+  Abort("the response exceeds the bound of its " +
+            std::string(ToString(bound)) + " with " +
+            std::to_string(held_.size() + buffer_.size()) + " bytes held",
+        bound);
+}
+
 void ClientConnection::FinishResponse() {
   // After an early response, the rest of the request is still being written, so
   // the connection cannot carry another one.
   const bool keep = parser_->keep_alive() && buffer_.size() == 0 && !writing_;
   if (!keep) Close();
-  Finish(ServerResponse{parser_->release()});
+  Finish(ServerResponse{parser_->release(), std::move(held_)});
 }
 
-void ClientConnection::Abort(const std::string& problem) {
+void ClientConnection::Abort(const std::string& problem,
+                             std::optional<ResponseBound> exceeded) {
   const bool sent = request_started_;
   Close();
   if (sent) {
-    Finish(NoResponse{problem});
+    Finish(NoResponse{problem, exceeded});
   } else {
     Finish(NotSent{problem});
   }
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -4,9 +4,13 @@
 // while no call is in progress, or after a complete response: such bytes belong
 // to no request.
 //
+// A response is cut, and its connection closed, once its head, one line of its
+// framing, its interim responses or its body exceed their bounds. The bytes of
+// a body are taken from the budget of the host before they are stored.
+//
 // Example:
-//   auto connection = ClientConnection::Open(io, endpoint);
-//   connection->Call(request, /*is_head=*/false,
+//   auto connection = ClientConnection::Open(io, endpoint, budget);
+//   connection->Call(request, ResponseBounds(),
 //                    [](CallResult result) { ... });
 //
 // Thread safety: none; everything runs on the thread of the io_context.
@@ -22,8 +26,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
+#include "heatherlatch/admission/byte_budget.h"
 #include "heatherlatch/base/endpoint.h"
 #include "heatherlatch/base/time.h"
 
@@ -36,13 +42,27 @@
   std::string problem;
   bool refused = false;  // The endpoint refused the connection.
 };
+// Which bound a response exceeded.
+enum class ResponseBound {
+  kHead,     // `kMaxResponseHeadBytes`.
+  kInterim,  // `kMaxInterimResponses`.
+  kBody,     // `ResponseBounds::max_body_bytes`.
+  kBudget,   // What the budget of the host allowed at the time.
+};
+
+// @return "head", "interim", "body" or "budget"
+std::string_view ToString(ResponseBound bound);
+
 // Bytes of the request were sent, and no complete response was received.
 struct NoResponse {
   std::string problem;
+  // The bound at which the response was cut; absent if it ended otherwise.
+  std::optional<ResponseBound> exceeded = std::nullopt;
 };
 // A complete response.
 struct ServerResponse {
   http::response<http::string_body> message;
+  ByteReservation held;  // For the body; to be kept as long as it.
 };
 using CallResult = std::variant<NotSent, NoResponse, ServerResponse>;
 using CallDone = std::function<void(CallResult)>;
@@ -51,18 +71,38 @@
 // download is 1.1 MB; the bound leaves room for larger ones.
 inline constexpr std::uint64_t kMaxResponseBytes = 8u << 20;
 
+// The most bytes of a head, of one line of the framing of a chunked body, or of
+// its trailers.
+inline constexpr std::uint32_t kMaxResponseHeadBytes = 8u << 10;
+
+// The most responses with status 1xx before a response.
+inline constexpr int kMaxInterimResponses = 8;
+
+// The most bytes of a body, as a share of what is left of the budget of the
+// host. A body without a length may grow without end, so it gets less.
+inline constexpr double kBodyShareWithLength = 1.0 / 8;
+inline constexpr double kBodyShareWithoutLength = 1.0 / 16;
+
+// What a caller accepts of the response to one call.
+struct ResponseBounds {
+  bool is_head = false;  // The method is HEAD: the response has no body.
+  std::uint64_t max_body_bytes = kMaxResponseBytes;
+  // Whether the body is held even beyond the budget of the host.
+  bool is_essential = false;
+};
+
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   // Starts to connect. `Call` may be used before the connection is established.
-  static std::shared_ptr<ClientConnection> Open(boost::asio::io_context* io,
-                                                const Endpoint& endpoint);
+  // @param budget  from which the bodies of responses are taken
+  static std::shared_ptr<ClientConnection> Open(
+      boost::asio::io_context* io, const Endpoint& endpoint,
+      std::shared_ptr<ByteBudget> budget);
 
   // Sends a request. Must not be called while a call is in progress.
   // @param request  the complete request: head and body
-  // @param is_head  whether the method is HEAD, so that the response has no
-  //                 body
   // @param done     called once with the result, unless the call is cancelled
-  void Call(std::string request, bool is_head, CallDone done);
+  void Call(std::string request, const ResponseBounds& bounds, CallDone done);
 
   // Cancels the call in progress without calling its `done`, and closes the
   // connection.
@@ -78,17 +118,31 @@
  private:
   using Parser = http::response_parser<http::string_body>;
 
-  ClientConnection(boost::asio::io_context* io, const Endpoint& endpoint)
-      : socket_(*io), endpoint_(endpoint) {}
+  ClientConnection(boost::asio::io_context* io, const Endpoint& endpoint,
+                   std::shared_ptr<ByteBudget> budget)
+      : socket_(*io), endpoint_(endpoint), budget_(std::move(budget)) {}
 
   void Connect();
   void OnConnected(const boost::system::error_code& error);
-  void NewParser(bool is_head);
+  void NewParser();
   void WriteRequest();
   void ReadSome();
   void OnRead(const boost::system::error_code& error, std::size_t size);
   void ParseResponse();
-  void Abort(const std::string& problem);
+  // Parses the received bytes of a head, or of a body.
+  // @return whether the parser can use more of them
+  bool ParseSome();
+  // Ends an interim response, or prepares for the body.
+  // @return whether the response is within its bounds
+  bool OnHead();
+  // Takes the bytes that the body has with those received from the budget.
+  // @return whether the budget allowed it
+  bool HoldBody();
+  bool Hold(std::uint64_t bytes, double share);
+  void OnParseError(const boost::system::error_code& error);
+  void Cut(ResponseBound bound);
+  void Abort(const std::string& problem,
+             std::optional<ResponseBound> exceeded = std::nullopt);
   void FinishResponse();
   void Finish(CallResult result);
   void Close();
@@ -101,6 +155,10 @@
   bool writing_ = false;
   std::string request_;
   CallDone done_;
+  std::shared_ptr<ByteBudget> budget_;
+  ResponseBounds bounds_;
+  ByteReservation held_;  // For the body of the response.
+  int interim_responses_ = 0;
   std::unique_ptr<Parser> parser_;
   boost::beast::flat_buffer buffer_;
   TimePoint idle_since_;
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -76,6 +76,10 @@
       step_timer_(*context->io) {}
 
 void Exchange::Start() {
+  if (!context_->HasRoomForResponse()) {
+    RefuseAsNotRun(NotRunReason::kOutOfMemory, kRetryAfter);
+    return;
+  }
   if (!context_->MayAwaitFirstConfiguration()) {
     Route();
     return;
@@ -462,8 +466,10 @@
        {"send", static_cast<double>(sends_)},
        {"waits", static_cast<double>(deferrals_)},
        {"waited_ms", ToMilliseconds(now - request_.read_at)}});
+  ResponseBounds bounds;
+  bounds.is_head = request_.method == "HEAD";
   attempt->connection->Call(
-      BuildServerRequest(server), request_.method == "HEAD",
+      BuildServerRequest(server), bounds,
       [self = shared_from_this(), attempt](CallResult result) {
         self->OnResult(attempt, std::move(result));
       });
@@ -499,12 +505,13 @@
   attempts_.erase(std::remove(attempts_.begin(), attempts_.end(), attempt),
                   attempts_.end());
   context_->connections.Release(attempt->server.endpoint, attempt->connection);
+  context_->RecordCut(result, request_.request_id, attempt->server.name.str());
   if (const auto* not_sent = std::get_if<NotSent>(&result)) {
     OnNotSent(attempt, *not_sent);
   } else if (const auto* no_response = std::get_if<NoResponse>(&result)) {
     OnNoResponse(attempt, no_response->problem);
   } else {
-    OnServerResponse(attempt, std::get<ServerResponse>(result));
+    OnServerResponse(attempt, std::get<ServerResponse>(std::move(result)));
   }
 }
 
@@ -543,7 +550,7 @@
 }
 
 void Exchange::OnServerResponse(const AttemptPtr& attempt,
-                                const ServerResponse& response) {
+                                ServerResponse&& response) {
   const TimePoint now = SteadyClock::now();
   const unsigned status = response.message.result_int();
   const auto fields = wire::ReadServerResponse(status, response.message);
@@ -584,7 +591,7 @@
       return;
     }
   }
-  Relay(attempt, response);
+  Relay(attempt, std::move(response));
 }
 
 void Exchange::OnNotRun(const AttemptPtr& attempt, unsigned status,
@@ -609,8 +616,7 @@
          context_->RetryBudgetFor(service_).TryRetry();
 }
 
-void Exchange::Relay(const AttemptPtr& attempt,
-                     const ServerResponse& response) {
+void Exchange::Relay(const AttemptPtr& attempt, ServerResponse&& response) {
   const Duration service_time = SteadyClock::now() - attempt->sent_at;
   CallerResponse relayed;
   relayed.status = response.message.result_int();
@@ -622,7 +628,8 @@
     relayed.fields.append(field.value().data(), field.value().size());
     relayed.fields += "\r\n";
   }
-  relayed.body = response.message.body();
+  relayed.body = std::move(response.message.body());
+  relayed.held = std::move(response.held);
   if (request_.method == "HEAD") {
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -52,6 +52,7 @@
   // The server's Content-Length in the response to a HEAD request; empty if the
   // server sent none. Absent for other methods.
   std::optional<std::string> head_content_length;
+  ByteReservation held = {};  // For the body; to be kept as long as it.
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
@@ -122,11 +123,10 @@
   void OnResult(const AttemptPtr& attempt, CallResult result);
   void OnNotSent(const AttemptPtr& attempt, const NotSent& result);
   void OnNoResponse(const AttemptPtr& attempt, const std::string& problem);
-  void OnServerResponse(const AttemptPtr& attempt,
-                        const ServerResponse& response);
+  void OnServerResponse(const AttemptPtr& attempt, ServerResponse&& response);
   // @param had_room  whether the server had a free slot
   void OnNotRun(const AttemptPtr& attempt, unsigned status, bool had_room);
-  void Relay(const AttemptPtr& attempt, const ServerResponse& response);
+  void Relay(const AttemptPtr& attempt, ServerResponse&& response);
 
   // Takes a retry from the service's budget, if attempts and time are left.
   // @return whether the request may be sent again
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -12,6 +12,10 @@
 // latency between regions.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(800);
 
+// The most bytes of the body of a response to a probe. Everything that is read
+// of it is in the head.
+constexpr std::uint64_t kMaxProbeBodyBytes = 16u << 10;
+
 }  // namespace
 
 void LoadProber::Probe(const ServerRecord& server,
@@ -23,7 +27,7 @@
 
 void LoadProber::ProbeOverNewConnection(const ServerRecord& server,
                                         std::function<void(LoadReply)> done) {
-  ProbeOver(ClientConnection::Open(context_->io, server.endpoint), server,
+  ProbeOver(context_->connections.Open(server.endpoint), server,
             std::move(done));
 }
 
@@ -41,14 +45,17 @@
       pending_.end(),
       {server, std::move(connection), std::move(done), SteadyClock::now()});
   context_->metrics.Count("probes", "sent");
+  ResponseBounds bounds;
+  bounds.max_body_bytes = kMaxProbeBodyBytes;
   probe->connection->Call(
-      wire::HealthRequest(ToString(server.endpoint), path), false,
+      wire::HealthRequest(ToString(server.endpoint), path), bounds,
       [this, probe](const CallResult& result) { OnResult(probe, result); });
 }
 
 void LoadProber::OnResult(ProbeList::iterator probe, const CallResult& result) {
   const PendingProbe finished = std::move(*probe);
   pending_.erase(probe);
+  context_->RecordCut(result, "", finished.server.name.str());
   const LoadReply reply = ReadReply(finished, result);
   context_->connections.Release(finished.server.endpoint, finished.connection);
   finished.done(reply);
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -35,6 +35,14 @@
 
 constexpr char kFeedPath[] = "/published";
 
+// The host cannot work without the published items, so their bytes are held
+// even beyond its budget. There is one such response at a time.
+ResponseBounds FeedBounds() {
+  ResponseBounds bounds;
+  bounds.is_essential = true;
+  return bounds;
+}
+
 FeedPage ToFeedPage(const wire::StorePage& page, bool is_complete) {
   FeedPage feed;
   feed.is_complete = is_complete;
@@ -160,12 +168,12 @@
   const std::size_t call_id = ++call_id_;
   if (!connection_ || !connection_->IsReusable() || connected_to_ != endpoint) {
     if (connection_) connection_->Cancel();
-    connection_ = ClientConnection::Open(context_->io, endpoint);
+    connection_ = context_->connections.Open(endpoint);
     connected_to_ = endpoint;
   }
   queried_at_ = SteadyClock::now();
   connection_->Call(
-      std::move(request), false,
+      std::move(request), FeedBounds(),
       [this, call_id](const CallResult& result) { OnResult(call_id, result); });
   ArmTimeout(call_id, timeout);
 }
@@ -183,6 +191,7 @@
   if (call_id != call_id_ || stopped_) return;
   ++call_id_;
   timer_.cancel();
+  context_->RecordCut(result, "", Describe(source_));
   if (const auto* not_sent = std::get_if<NotSent>(&result)) {
     OnFailure(not_sent->problem, false);
     return;
@@ -400,9 +409,9 @@
   query.requester = context_->settings.peer_listen;
   query.after_revision = items_.revision();
   query.suspects = {notice};
-  const auto connection = ClientConnection::Open(context_->io, reader);
+  const auto connection = context_->connections.Open(reader);
   connection->Call(
-      BuildPeerRequest(reader, query), false,
+      BuildPeerRequest(reader, query), ResponseBounds(),
       [this, reader](const CallResult& result) {
         if (std::holds_alternative<ServerResponse>(result)) return;
         context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
--- a/heatherlatch/traffic/server_connection_pool.cc
+++ b/heatherlatch/traffic/server_connection_pool.cc
@@ -28,7 +28,7 @@
     if (connection->IsReusable()) break;
     kept.pop_back();
   }
-  return ClientConnection::Open(io_, endpoint);
+  return Open(endpoint);
 }
 
 bool ServerConnectionPool::HasIdle(const Endpoint& endpoint,
--- a/heatherlatch/traffic/server_connection_pool.h
+++ b/heatherlatch/traffic/server_connection_pool.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "heatherlatch/traffic/client_connection.h"
@@ -25,13 +26,21 @@
 
 class ServerConnectionPool {
  public:
-  explicit ServerConnectionPool(boost::asio::io_context* io) : io_(io) {}
+  // @param budget  from which the bodies of responses are taken
+  ServerConnectionPool(boost::asio::io_context* io,
+                       std::shared_ptr<ByteBudget> budget)
+      : io_(io), budget_(std::move(budget)) {}
 
   // @param fresh_only  whether to apply `kNonIdempotentIdleLimit`
   // @return a kept connection, or a new one
   std::shared_ptr<ClientConnection> Acquire(const Endpoint& endpoint,
                                             bool fresh_only, TimePoint now);
 
+  // @return a new connection
+  std::shared_ptr<ClientConnection> Open(const Endpoint& endpoint) const {
+    return ClientConnection::Open(io_, endpoint, budget_);
+  }
+
   // @return whether a kept connection is fit for a call
   bool HasIdle(const Endpoint& endpoint, TimePoint now) const;
 
@@ -44,6 +53,7 @@
 
  private:
   boost::asio::io_context* io_;
+  std::shared_ptr<ByteBudget> budget_;
   std::map<Endpoint, std::vector<std::shared_ptr<ClientConnection>>> idle_;
 };
 
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -25,6 +25,17 @@
 constexpr int kCrashesUntilRefused = 3;
 constexpr std::size_t kMaxSuspects = 10'000;
 
+// The part of the memory limit that the host holds for callers and servers. The
+// rest is for its own state, for socket buffers, and for the copy of one body.
+constexpr double kHeldShareOfMemory = 0.5;
+// Room without which a request is refused: the body of an average response.
+constexpr std::uint64_t kMinResponseRoom = 90'000;
+
+std::uint64_t HeldBytesLimit(const TrafficHostSettings& settings) {
+  return static_cast<std::uint64_t>(
+      kHeldShareOfMemory * static_cast<double>(settings.memory_limit_bytes));
+}
+
 }  // namespace
 
 TrafficContext::TrafficContext(boost::asio::io_context* io_context,
@@ -32,7 +43,8 @@
                                int log_descriptor, std::uint64_t seed)
     : io(io_context),
       settings(std::move(host_settings)),
-      connections(io_context),
+      held_bytes(std::make_shared<ByteBudget>(HeldBytesLimit(settings))),
+      connections(io_context, held_bytes),
       suspects(CrashSuspectsOptions{kSuspectRetention, kCrashesUntilRefused,
                                     kMaxSuspects}),
       log(log_descriptor, kMaxBufferedLogBytes),
@@ -50,6 +62,27 @@
   return !routes && SteadyClock::now() < first_configuration_.expiry();
 }
 
+void TrafficContext::ApplyMemoryLimit() {
+  held_bytes->SetCapacity(HeldBytesLimit(settings));
+}
+
+bool TrafficContext::HasRoomForResponse() const {
+  return held_bytes->HasRoom(kMinResponseRoom, kBodyShareWithoutLength);
+}
+
+void TrafficContext::RecordCut(const CallResult& result,
+                               std::string_view request,
+                               std::string_view source) {
+  const auto* cut = std::get_if<NoResponse>(&result);
+  if (cut == nullptr || !cut->exceeded) return;
+  metrics.Count("cut_responses", ToString(*cut->exceeded));
+  log.Write("response-cut",
+            {{"request", request},
+             {"source", source},
+             {"bound", ToString(*cut->exceeded)},
+             {"held_bytes", static_cast<double>(held_bytes->held())}});
+}
+
 RetryBudget& TrafficContext::RetryBudgetFor(const ServiceName& service) {
   return retries_
       .try_emplace(service, settings.retry_share * kRetryShareFactor,
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -11,7 +11,9 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <string_view>
 
+#include "heatherlatch/admission/byte_budget.h"
 #include "heatherlatch/admission/crash_suspects.h"
 #include "heatherlatch/admission/token_bucket.h"
 #include "heatherlatch/fleet/server_directory.h"
@@ -38,6 +40,16 @@
   // Resumes the requests held for the first configuration.
   void OnConfiguration() { first_configuration_.cancel(); }
 
+  // Takes over the memory limit of the settings.
+  void ApplyMemoryLimit();
+  // @return whether the host can hold the response to a further request
+  bool HasRoomForResponse() const;
+  // Logs and counts a response that was cut at a bound.
+  // @param request  the id of the request; empty if it was the host's own
+  // @param source   the server, the store or the peer that responded
+  void RecordCut(const CallResult& result, std::string_view request,
+                 std::string_view source);
+
   // @return this host's share of the retry budget of a service
   RetryBudget& RetryBudgetFor(const ServiceName& service);
 
@@ -48,6 +60,8 @@
 
   boost::asio::io_context* io;
   TrafficHostSettings settings;
+  // The bytes that the host holds for callers and servers.
+  std::shared_ptr<ByteBudget> held_bytes;
   std::shared_ptr<const RouteTable> routes;  // Null until one is received.
   ServerDirectory directory;
   ServerObservations observations;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -186,6 +186,8 @@
   context_.settings.zones = settings->zones;
   context_.settings.platform = settings->platform;
   context_.settings.stop_wait = settings->stop_wait;
+  context_.settings.memory_limit_bytes = settings->memory_limit_bytes;
+  context_.ApplyMemoryLimit();
   feed_.Reconfigure();
 }
 
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "heatherlatch/traffic/decision_log.h"
+#include "heatherlatch/traffic/exchange.h"
 #include "heatherlatch/traffic/route_statistics.h"
 #include "heatherlatch/traffic/traffic_metrics.h"
 
@@ -132,5 +133,35 @@
         std::string::npos);
 }
 
+// @return the response of a host with this memory limit to a request, if it
+//     refuses the request at once
+std::optional<CallerResponse> RespondAtOnce(std::uint64_t held_bytes) {
+  Pipe pipe;
+  boost::asio::io_context io(1);
+  TrafficContext context(&io, {}, pipe.ends[1], 1);
+  LoadProber prober(&context);
+  ByteReservation held(context.held_bytes);
+  held.GrowTo(held_bytes);
+  std::optional<CallerResponse> response;
+  context.routes = std::make_shared<const RouteTable>();
+  const auto exchange = std::make_shared<Exchange>(
+      &context, &prober, CallerRequest{},
+      [&](CallerResponse done) { response = std::move(done); });
+  exchange->Start();
+  return response;
+}
+
+TEST_CASE(
+    "a request is refused with 503 if the host cannot hold its response") {
+  const std::uint64_t budget = TrafficHostSettings().memory_limit_bytes / 2;
+  const auto refused = RespondAtOnce(budget - 1'000'000);
+  REQUIRE(refused);
+  CHECK(refused->status == 503);
+  CHECK(refused->body == "out-of-memory\n");
+  const auto routed = RespondAtOnce(budget - 2'000'000);
+  REQUIRE(routed);
+  CHECK(routed->body != "out-of-memory\n");
+}
+
 }  // namespace
 }  // namespace heatherlatch
