--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -77,7 +77,7 @@
                          }));
   BOOST_LEAF_CHECK(Serve(context_.settings.metrics_listen,
                          [this](const std::string&, const auto& respond) {
-                           respond({kOk, context_.metrics.Text()});
+                           respond({kOk, MetricsPage()});
                          }));
   BOOST_LEAF_CHECK(Serve(context_.settings.peer_listen,
                          [this](const std::string& body, auto respond) {
@@ -107,6 +107,16 @@
   return {};
 }
 
+std::string TrafficHost::MetricsPage() {
+  const ByteBudget& held = *context_.held_bytes;
+  context_.metrics.SetGauge("held_bytes", static_cast<double>(held.held()));
+  context_.metrics.SetGauge("held_bytes_max",
+                            static_cast<double>(held.max_held()));
+  context_.metrics.SetGauge("held_bytes_limit",
+                            static_cast<double>(held.capacity()));
+  return context_.metrics.Text();
+}
+
 void TrafficHost::Accept() {
   acceptor_->async_accept(
       [this](const error_code& error, asio::ip::tcp::socket socket) {
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -19,6 +19,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "heatherlatch/traffic/caller_connection.h"
 #include "heatherlatch/traffic/published_feed.h"
@@ -45,6 +46,7 @@
   Result<void> ListenForCallers();
   Result<void> Serve(const Endpoint& endpoint,
                      SimpleHttpServer::Handler handler);
+  std::string MetricsPage();
   void Accept();
   void AwaitSignal();
   void ScheduleMaintenance();
--- a/heatherlatch/traffic/traffic_metrics.cc
+++ b/heatherlatch/traffic/traffic_metrics.cc
@@ -50,8 +50,21 @@
   ++counter->second;
 }
 
+void TrafficMetrics::SetGauge(std::string_view name, double value) {
+  const auto found = gauges_.find(name);
+  if (found != gauges_.end()) {
+    found->second = value;
+  } else {
+    gauges_.emplace(name, value);
+  }
+}
+
 std::string TrafficMetrics::Text() const {
   std::string out;
+  for (const auto& [name, value] : gauges_) {
+    out += kMetricPrefix + name + " " +
+           std::to_string(static_cast<std::int64_t>(value)) + "\n";
+  }
   for (const auto& [family, outcomes] : families_) {
     for (const auto& [outcome, count] : outcomes) {
       out += kMetricPrefix + family + "_total{outcome=\"" + outcome + "\"} " +
--- a/heatherlatch/traffic/traffic_metrics.h
+++ b/heatherlatch/traffic/traffic_metrics.h
@@ -46,6 +46,9 @@
   // Counts one event of a family, such as ("requests", "answered").
   void Count(std::string_view family, std::string_view outcome);
 
+  // Sets a value that can rise and fall, such as "held_bytes".
+  void SetGauge(std::string_view name, double value);
+
   // @return all series in Prometheus text format
   std::string Text() const;
 
@@ -55,6 +58,7 @@
   LatencyHistogram server_time;  // From a send to its response.
 
  private:
+  std::map<std::string, double, std::less<>> gauges_;
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>,
            std::less<>>
       families_;
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -122,7 +122,10 @@
   metrics.Count("requests", "answered");
   metrics.Count("requests", "answered");
   metrics.request_time.Observe(milliseconds(30));
+  metrics.SetGauge("held_bytes", 7);
+  metrics.SetGauge("held_bytes", 62255104);
   const std::string text = metrics.Text();
+  CHECK(text.find("heatherlatch_held_bytes 62255104\n") != std::string::npos);
   CHECK(text.find("heatherlatch_requests_total{outcome=\"answered\"} 2\n") !=
         std::string::npos);
   CHECK(text.find("heatherlatch_request_seconds_bucket{le=\"0.025\"} 0\n") !=
--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -46,6 +46,7 @@
       {"shed-by-server", "the servers that it was sent to refused it"},
       {"no-route", "the configuration of the host has no route for it"},
       {"configuration-unavailable", "the host had no configuration yet"},
+      {"out-of-memory", "the host had no memory left for its response"},
       {"suspected-of-crashing-servers",
        "servers crashed while they ran this content"},
   };
@@ -54,12 +55,33 @@
   return "Refused after " + waited + ", not run: " + cause + ".";
 }
 
+std::string CutCause(const Json& cut) {
+  static const std::map<std::string, std::string> bounds = {
+      {"head", "a head or framing that is too long"},
+      {"interim", "too many interim responses"},
+      {"body", "a body that is too long"},
+      {"budget", "a body for which the host had no memory left"},
+  };
+  const std::string bound = StringField(cut, "bound");
+  const auto found = bounds.find(bound);
+  return "It may have run: server " + StringField(cut, "source") + " sent " +
+         (found == bounds.end() ? bound : found->second) +
+         ", and the host cut the response.";
+}
+
 std::string UnknownCause(const std::string& reason,
                          const std::vector<LogLine>& lines, const Json& ended) {
   const LogLine* placed = FindLast(lines, "placed");
   const std::string server =
       placed == nullptr ? "no server" : StringField(placed->fields, "server");
+  const LogLine* cut = FindLast(lines, "response-cut");
   const LogLine* no_response = FindLast(lines, "no-answer");
+  // The last send decides.
+  if (cut != nullptr &&
+      (no_response == nullptr || StringField(no_response->fields, "server") ==
+                                     StringField(cut->fields, "source"))) {
+    return CutCause(cut->fields);
+  }
   if (no_response != nullptr) {
     return "It may have run: server " +
            StringField(no_response->fields, "server") +
