End a response of a backend client whose trailers have no end

Trailers were read until the deadline of the call; nothing of them is held, but the thread and the connection are. They are now bounded as a head is, at 64 KB. The test also sends junk, an endless status line, endless fields and endless interim responses, which ended at a bound before; with trailers it failed:

CHECK( *reason != BackendUnknownReason::kTimedOut ) 0 != 0

--- a/heatherlatch/backend/backend_client_test.cc
+++ b/heatherlatch/backend/backend_client_test.cc
@@ -476,6 +476,31 @@
   CHECK(UnknownReasonOf(received) == BackendUnknownReason::kTimedOut);
 }
 
+TEST_CASE("a response whose head or framing has no end fails at a bound") {
+  const auto [head, piece] = GENERATE(table<std::string, std::string>({
+      {"junk", std::string(16'000, 'j')},
+      {"HTTP/1.1 200 ", std::string(16'000, 'O')},
+      {"HTTP/1.1 200 OK\r\n", "X-Field: " + std::string(1000, 'v') + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X-Trailer: " + std::string(1000, 'v') + "\r\n"},
+      {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+  }));
+  CAPTURE(head);
+  constexpr int kMaxPieces = 20'000;
+  std::atomic<bool> cut{false};
+  RawServer server([&, first = head, next = piece](RawConnection& connection) {
+    if (connection.ReadRequest().empty()) return;
+    connection.Send(first);
+    for (int i = 0; i < kMaxPieces && !cut; ++i) cut = !connection.Send(next);
+    if (!cut) connection.ReadBytes(1);
+  });
+  BackendClient client({});
+  const Received received = Call(&client, Get(server.endpoint()), seconds(4));
+  const auto reason = UnknownReasonOf(received);
+  REQUIRE(reason);
+  CHECK(*reason != BackendUnknownReason::kTimedOut);
+}
+
 TEST_CASE("a call that receives no bytes is cancelled promptly") {
   RawServer server([](RawConnection& connection) {
     while (!connection.ReadRequest().empty()) {
--- a/heatherlatch/backend/internal/http_connection.cc
+++ b/heatherlatch/backend/internal/http_connection.cc
@@ -13,6 +13,7 @@
 namespace heatherlatch::internal {
 namespace {
 
+constexpr std::uint64_t kMaxTrailerBytes = 65536;
 constexpr long kReceiveBufferBytes = 65536;  // NOLINT(google-runtime-int)
 
 // Prefix of the debug message that libcurl writes when it discards bytes after
@@ -97,6 +98,7 @@
   bool head_complete = false;
   bool has_leftovers = false;  // Bytes arrived after the final chunk.
   std::uint64_t head_bytes = 0;
+  std::uint64_t trailer_bytes = 0;  // Part of `head_bytes`.
   TimePoint start;
   ExchangeResult end;
 };
@@ -106,7 +108,11 @@
     end.time_to_first_byte = SteadyClock::now() - start;
   }
   head_bytes += line.size();
-  if (head_complete) return true;  // A trailer.
+  if (head_complete) {  // A trailer.
+    trailer_bytes += line.size();
+    return trailer_bytes <= kMaxTrailerBytes ||
+           Fail(ExchangeFailure::kMalformedResponse);
+  }
   switch (parser.ParseLine(line)) {
     case HeadProgress::kIncomplete:
       return true;
