--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -56,6 +56,7 @@
   std::optional<std::string> head_content_length;
   // Whether a server signed it; absent in a response of the host itself.
   std::optional<bool> is_signed = std::nullopt;
+  ByteReservation held = {};  // For the body; to be kept as long as it.
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
@@ -126,8 +127,7 @@
   void OnResult(const AttemptPtr& attempt, CallResult result);
   void OnNotSent(const AttemptPtr& attempt, const NotSent& result);
   void OnNoResponse(const AttemptPtr& attempt, const std::string& problem);
-  void OnServerResponse(const AttemptPtr& attempt,
-                        const ServerResponse& response);
+  void OnServerResponse(const AttemptPtr& attempt, ServerResponse&& response);
   // Records that a server failed the request, which may have run, and sends it
   // again if that is allowed.
   // @return whether the request ends with this failure
@@ -138,7 +138,7 @@
                       std::string_view reason);
   // @param had_room  whether the server had a free slot
   void OnNotRun(const AttemptPtr& attempt, unsigned status, bool had_room);
-  void Relay(const AttemptPtr& attempt, const ServerResponse& response,
+  void Relay(const AttemptPtr& attempt, ServerResponse&& response,
              bool is_signed);
 
   // Takes a retry from the service's budget, if attempts and time are left.
--- a/heatherlatch/traffic/server_connection_pool.cc
+++ b/heatherlatch/traffic/server_connection_pool.cc
@@ -32,7 +32,7 @@
     kept.erase(position);
     return connection;
   }
-  return ClientConnection::Open(io_, endpoint);
+  return Open(endpoint);
 }
 
 bool ServerConnectionPool::HasIdle(const Endpoint& endpoint,
--- a/heatherlatch/traffic/server_connection_pool.h
+++ b/heatherlatch/traffic/server_connection_pool.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "heatherlatch/traffic/client_connection.h"
@@ -26,7 +27,10 @@
 
 class ServerConnectionPool {
  public:
-  explicit ServerConnectionPool(boost::asio::io_context* io) : io_(io) {}
+  // @param budget  from which the bodies of responses are taken
+  ServerConnectionPool(boost::asio::io_context* io,
+                       std::shared_ptr<ByteBudget> budget)
+      : io_(io), budget_(std::move(budget)) {}
 
   // @param fresh_only  whether to apply `kNonIdempotentIdleLimit`
   // @param request_id  the request that the connection is to carry; empty for
@@ -38,6 +42,11 @@
                                             std::string_view request_id,
                                             TimePoint now);
 
+  // @return a new connection
+  std::shared_ptr<ClientConnection> Open(const Endpoint& endpoint) const {
+    return ClientConnection::Open(io_, endpoint, budget_);
+  }
+
   // @return whether a kept connection is fit for a call
   bool HasIdle(const Endpoint& endpoint, TimePoint now) const;
 
@@ -50,6 +59,7 @@
 
  private:
   boost::asio::io_context* io_;
+  std::shared_ptr<ByteBudget> budget_;
   std::map<Endpoint, std::vector<std::shared_ptr<ClientConnection>>> idle_;
 };
 
--- a/heatherlatch/traffic/traffic_metrics.h
+++ b/heatherlatch/traffic/traffic_metrics.h
@@ -54,6 +54,9 @@
   // @param status  the HTTP status
   void CountResponse(ResponseOrigin origin, unsigned status);
 
+  // Sets a value that can rise and fall, such as "held_bytes".
+  void SetGauge(std::string_view name, double value);
+
   // @return all series in Prometheus text format
   std::string Text() const;
 
@@ -63,6 +66,7 @@
   LatencyHistogram server_time;  // From a send to its response.
 
  private:
+  std::map<std::string, double, std::less<>> gauges_;
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>,
            std::less<>>
       families_;
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -6,6 +6,7 @@
 
 #include "heatherlatch/traffic/configuration_basis.h"
 #include "heatherlatch/traffic/decision_log.h"
+#include "heatherlatch/traffic/exchange.h"
 #include "heatherlatch/traffic/route_statistics.h"
 #include "heatherlatch/traffic/traffic_metrics.h"
 
@@ -148,11 +149,14 @@
   metrics.CountResponse(ResponseOrigin::kServer, 404);
   metrics.CountResponse(ResponseOrigin::kServer, 404);
   metrics.request_time.Observe(milliseconds(30));
+  metrics.SetGauge("held_bytes", 7);
+  metrics.SetGauge("held_bytes", 62255104);
   const std::string text = metrics.Text();
   CHECK(text.find("heatherlatch_responses_total{origin=\"host\",status=\"404\"}"
                   " 1\n") != std::string::npos);
   CHECK(text.find("heatherlatch_responses_total{origin=\"server\",status="
                   "\"404\"} 2\n") != std::string::npos);
+  CHECK(text.find("heatherlatch_held_bytes 62255104\n") != std::string::npos);
   CHECK(text.find("heatherlatch_requests_total{outcome=\"answered\"} 2\n") !=
         std::string::npos);
   CHECK(text.find("heatherlatch_request_seconds_bucket{le=\"0.025\"} 0\n") !=
@@ -163,5 +167,35 @@
         std::string::npos);
 }
 
+// @return the response of a host with this memory limit to a request, if it
+//     refuses the request at once
+std::optional<CallerResponse> RespondAtOnce(std::uint64_t held_bytes) {
+  Pipe pipe;
+  boost::asio::io_context io(1);
+  TrafficContext context(&io, {}, pipe.ends[1], 1);
+  LoadProber prober(&context);
+  ByteReservation held(context.held_bytes);
+  held.GrowTo(held_bytes);
+  std::optional<CallerResponse> response;
+  context.routes = std::make_shared<const RouteTable>();
+  const auto exchange = std::make_shared<Exchange>(
+      &context, &prober, CallerRequest{},
+      [&](CallerResponse done) { response = std::move(done); });
+  exchange->Start();
+  return response;
+}
+
+TEST_CASE(
+    "a request is refused with 503 if the host cannot hold its response") {
+  const std::uint64_t budget = TrafficHostSettings().memory_limit_bytes / 2;
+  const auto refused = RespondAtOnce(budget - 1'000'000);
+  REQUIRE(refused);
+  CHECK(refused->status == 503);
+  CHECK(refused->body == "out-of-memory\n");
+  const auto routed = RespondAtOnce(budget - 2'000'000);
+  REQUIRE(routed);
+  CHECK(routed->body != "out-of-memory\n");
+}
+
 }  // namespace
 }  // namespace heatherlatch
