Name the configuration of the relay model without the platform's key

scripts/check-wire-names allows the keys of the store in platform/ only and failed for configuration_relay_model_test.cc.

--- a/heatherlatch/relay/configuration_relay_model_test.cc
+++ b/heatherlatch/relay/configuration_relay_model_test.cc
@@ -12,7 +12,7 @@
 namespace heatherlatch {
 namespace {
 
-constexpr char kConfigurationKey[] = "op/config";
+constexpr char kConfigurationKey[] = "configuration";
 constexpr int kHosts = 3;
 // Deletions of one step, after which tombstones are dropped.
 constexpr std::size_t kServers = kMaxTombstones + 10;
@@ -114,7 +114,7 @@
     if (host->has_complete_list) {
       host->items.Merge(store_.Watch(host->items.revision()));
     } else {
-      const std::string middle = Pick(2) == 0 ? "op/" : "servers/3";
+      const std::string middle = Pick(2) == 0 ? "a" : "servers/3";
       const std::size_t changes = Pick(3);
       host->items.Merge(store_.List(middle, [&] {
         for (std::size_t i = 0; i < changes; ++i) ChangeStore();
