--- a/programs/explain/explanation_test.cc
+++ b/programs/explain/explanation_test.cc
@@ -23,11 +23,11 @@
   3.0 host-2 {"at_ms":30000,"event":"ended","request":"d","outcome":"answered","reason":"i-2","status":504,"total_ms":2000}
   3.0 host-2 {"at_ms":30000,"event":"placed","request":"e","server":"i-2"}
   3.0 host-2 {"at_ms":31000,"event":"ended","request":"e","outcome":"unknown","reason":"deadline-exceeded","status":504,"total_ms":1500}
-  3.1 host-2 {"at_ms":32000,"event":"placed","request":"g","server":"i-3"}
-  3.1 host-2 {"at_ms":32001,"event":"response-cut","request":"g","source":"i-3","bound":"budget","held_bytes":50000000}
-  3.1 host-2 {"at_ms":32001,"event":"no-answer","request":"g","server":"i-3","problem":"the response exceeds the bound of its budget"}
-  3.1 host-2 {"at_ms":32002,"event":"ended","request":"g","outcome":"unknown","reason":"answer-lost","status":502,"total_ms":90}
-  3.1 host-2 {"at_ms":33000,"event":"ended","request":"h","outcome":"refused","reason":"out-of-memory","status":503,"total_ms":0}
+  3.1 host-2 {"at_ms":32000,"event":"placed","request":"k","server":"i-3"}
+  3.1 host-2 {"at_ms":32001,"event":"response-cut","request":"k","source":"i-3","bound":"budget","held_bytes":50000000}
+  3.1 host-2 {"at_ms":32001,"event":"no-answer","request":"k","server":"i-3","problem":"the response exceeds the bound of its budget"}
+  3.1 host-2 {"at_ms":32002,"event":"ended","request":"k","outcome":"unknown","reason":"answer-lost","status":502,"total_ms":90}
+  3.1 host-2 {"at_ms":33000,"event":"ended","request":"l","outcome":"refused","reason":"out-of-memory","status":503,"total_ms":0}
 )";
 
 std::string CauseOf(const std::string& request) {
@@ -58,10 +58,10 @@
   CHECK(CauseOf("e") ==
         "It may have run: server i-2 had not answered after 1500 ms "
         "(deadline-exceeded).");
-  CHECK(CauseOf("g") ==
+  CHECK(CauseOf("k") ==
         "It may have run: server i-3 sent a body for which the host had no "
         "memory left, and the host cut the response.");
-  CHECK(CauseOf("h") ==
+  CHECK(CauseOf("l") ==
         "Refused after 0 ms, not run: the host had no memory left for its "
         "response.");
   CHECK(CauseOf("x") == "No log line has this request id.");
