Hold the bodies of uploads within the memory of the host

Two uploads of 64 MiB at once, as large as the published limit permits, took 270,487,552 bytes more; a host with 160 MB would have been ended by the platform, and its other callers would have lost their requests.

Cause: the body of a request was bounded by the published limit only, and each send copied it. It now takes its bytes from the host's byte budget, with the declared length when the header has been read. What does not fit is answered 503 with Retry-After, not run. All sends of a request share its body.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -28,6 +28,10 @@
 // Bytes of one request that are held while no limits are known.
 constexpr std::uint64_t kMaxHeldHeaderBytes = 64 * 1024;
 constexpr std::uint64_t kMaxHeldBodyBytes = 1024 * 1024;
+// The most that the body of one request may hold of the host's budget, as a
+// share of what is left of it. A body of 64 MiB, the largest that users publish
+// as their limit, fits a host with 160 MB if no other is held.
+constexpr double kRequestBodyShare = 6;
 constexpr std::string_view kLineEnd = "\r\n";
 // Empty lines before one request line that are skipped; RFC 9112, section 2.2,
 // asks for at least one.
@@ -85,6 +89,7 @@
 void CallerConnection::BeginRequest() {
   request_.header_limit.reset();
   request_.body_limit.reset();
+  request_.held = ByteReservation(context_->held_bytes);
   request_.empty_line_bytes = 0;
   request_.parsed_bytes = 0;
   request_.request_line_bytes = 0;
@@ -197,9 +202,18 @@
     return true;
   }
   return parser_->is_header_done() &&
-         RejectBySize(
-             JudgeSize(BodyBytes(), request_.body_limit, kMaxHeldBodyBytes),
-             "body", kPayloadTooLarge);
+         (RejectBySize(
+              JudgeSize(BodyBytes(), request_.body_limit, kMaxHeldBodyBytes),
+              "body", kPayloadTooLarge) ||
+          RejectByMemory());
+}
+
+bool CallerConnection::RejectByMemory() {
+  if (request_.held.TryGrowTo(BodyBytes(), kRequestBodyShare)) return false;
+  RejectRequest({kServiceUnavailable, "no memory is left for the body",
+                 "memory", SizeLimit{context_->held_bytes->capacity(), 0},
+                 kRetryAfter});
+  return true;
 }
 
 bool CallerConnection::RejectBySize(const SizeVerdict& verdict,
@@ -245,7 +259,9 @@
 
 void CallerConnection::RejectRequest(const Rejection& rejection) {
   accepts_requests_ = false;
-  const auto fields = wire::ReadCallerFields(parser_->get());
+  // What was read of the request is discarded.
+  const auto fields = wire::ReadCallerFields(parser_->release());
+  request_.held.Release();
   context_->metrics.Count("requests", "rejected");
   LogRejection(fields.request_id, rejection);
   auto pending = std::make_shared<PendingResponse>();
@@ -297,7 +313,11 @@
     request.forwarded_fields.append(name).append(": ");
     request.forwarded_fields.append(AsView(field.value())).append("\r\n");
   }
-  request.body = std::move(message.body());
+  if (!message.body().empty()) {
+    request.body =
+        std::make_shared<const std::string>(std::move(message.body()));
+  }
+  request.held = std::move(request_.held);
   return request;
 }
 
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -32,6 +32,7 @@
 #include <string>
 #include <string_view>
 
+#include "heatherlatch/admission/byte_budget.h"
 #include "heatherlatch/admission/request_limits.h"
 #include "heatherlatch/traffic/exchange.h"
 
@@ -72,6 +73,7 @@
   struct RequestInProgress {
     std::optional<SizeLimit> header_limit;  // Absent while none is known.
     std::optional<SizeLimit> body_limit;
+    ByteReservation held;                  // For the body.
     std::size_t empty_line_bytes = 0;      // Skipped before the request line.
     std::uint64_t parsed_bytes = 0;        // Of head and body.
     std::uint64_t request_line_bytes = 0;  // 0 until it is complete.
@@ -82,7 +84,7 @@
   struct Rejection {
     unsigned status = 0;
     std::string problem;
-    std::string_view limit_name = "none";  // Or "header" or "body".
+    std::string_view limit_name = "none";  // Or "header", "body", "memory".
     SizeLimit limit = {};                  // Version 0: not published.
     std::optional<Duration> retry_after = std::nullopt;
   };
@@ -107,6 +109,9 @@
   bool RejectIfTooLarge();
   bool RejectBySize(const SizeVerdict& verdict, std::string_view limit_name,
                     unsigned status);
+  // Takes the bytes of the body from the host's budget.
+  // @return whether the request was rejected because the budget is used up
+  bool RejectByMemory();
   // @return false if the request was rejected
   bool AcceptHeader();
   // Asks for the body that the caller holds back, once the responses to earlier
--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -102,8 +103,8 @@
   ReadSome();
 }
 
-void ClientConnection::Call(std::string request, const ResponseBounds& bounds,
-                            CallDone done) {
+void ClientConnection::Call(OutgoingRequest request,
+                            const ResponseBounds& bounds, CallDone done) {
   request_ = std::move(request);
   done_ = std::move(done);
   request_started_ = false;
@@ -132,12 +133,15 @@
 void ClientConnection::WriteRequest() {
   request_started_ = true;
   writing_ = true;
-  asio::async_write(
-      socket_, asio::buffer(request_),
-      [self = shared_from_this()](const error_code& error, std::size_t) {
-        self->writing_ = false;
-        if (error && self->open_) self->Abort("write: " + error.message());
-      });
+  std::array<asio::const_buffer, 2> bytes = {asio::buffer(request_.head)};
+  if (request_.body) bytes[1] = asio::buffer(*request_.body);
+  asio::async_write(socket_, bytes,
+                    [self = shared_from_this(), body = request_.body](
+                        const error_code& error, std::size_t) {
+                      self->writing_ = false;
+                      if (error && self->open_)
+                        self->Abort("write: " + error.message());
+                    });
 }
 
 void ClientConnection::ReadSome() {
@@ -271,6 +275,7 @@
 void ClientConnection::Finish(CallResult result) {
   idle_since_ = SteadyClock::now();
   request_started_ = false;
+  request_.body = nullptr;
   CallDone done = std::move(done_);
   done_ = nullptr;
   if (done) done(std::move(result));
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -84,6 +84,13 @@
 inline constexpr double kBodyShareWithLength = 1.0 / 8;
 inline constexpr double kBodyShareWithoutLength = 1.0 / 16;
 
+// One request to a server, a peer or the store.
+struct OutgoingRequest {
+  std::string head;  // With the body, if that is not shared.
+  // The body, if several calls send it; null otherwise.
+  std::shared_ptr<const std::string> body = nullptr;
+};
+
 // What a caller accepts of the response to one call.
 struct ResponseBounds {
   bool is_head = false;  // The method is HEAD: the response has no body.
@@ -101,9 +108,9 @@
       std::shared_ptr<ByteBudget> budget);
 
   // Sends a request. Must not be called while a call is in progress.
-  // @param request  the complete request: head and body
-  // @param done     called once with the result, unless the call is cancelled
-  void Call(std::string request, const ResponseBounds& bounds, CallDone done);
+  // @param done  called once with the result, unless the call is cancelled
+  void Call(OutgoingRequest request, const ResponseBounds& bounds,
+            CallDone done);
 
   // Cancels the call in progress without calling its `done`, and closes the
   // connection.
@@ -171,7 +178,7 @@
   bool connected_ = false;
   bool request_started_ = false;
   bool writing_ = false;
-  std::string request_;
+  OutgoingRequest request_;
   CallDone done_;
   std::shared_ptr<ByteBudget> budget_;
   ResponseBounds bounds_;
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -121,7 +121,7 @@
     return;
   }
   service_ = chosen->service;
-  digest_ = DigestOf(request_.method, request_.target, request_.body);
+  digest_ = DigestOf(request_.method, request_.target, Body());
   context_->RetryBudgetFor(service_).OnSuccess();
   ArmDeadline();
   SelectServer(SendKind::kPrimary);
@@ -482,15 +482,18 @@
   ArmHedge(expected);
 }
 
-std::string Exchange::BuildServerRequest(const ServerRecord& server) const {
-  std::string request = request_.method + " " + request_.target +
-                        " HTTP/1.1\r\n" + request_.forwarded_fields +
-                        wire::ServerRequestFields(server.name, TimeLeft());
+std::string_view Exchange::Body() const {
+  return request_.body ? *request_.body : std::string_view();
+}
+
+OutgoingRequest Exchange::BuildServerRequest(const ServerRecord& server) const {
+  std::string head = request_.method + " " + request_.target + " HTTP/1.1\r\n" +
+                     request_.forwarded_fields +
+                     wire::ServerRequestFields(server.name, TimeLeft());
   if (request_.has_body) {
-    request +=
-        "Content-Length: " + std::to_string(request_.body.size()) + "\r\n";
+    head += "Content-Length: " + std::to_string(Body().size()) + "\r\n";
   }
-  return request + "\r\n" + request_.body;
+  return {head + "\r\n", request_.body};
 }
 
 void Exchange::ArmHedge(Duration expected) {
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -40,7 +40,8 @@
   std::string authority;
   std::string request_id;
   std::string forwarded_fields;  // Complete header lines, each with CRLF.
-  std::string body;
+  std::shared_ptr<const std::string> body = nullptr;  // Null: empty.
+  ByteReservation held = {};  // For the body; to be kept as long as it.
   bool has_body = false;
   std::optional<Duration> time_budget;  // As stated by the caller.
   TimePoint read_at;
@@ -121,7 +122,8 @@
                     const std::optional<Choice>& choice);
   void PlaceHedge(const std::optional<Choice>& choice);
   void Send(const Candidate& candidate, Duration expected);
-  std::string BuildServerRequest(const ServerRecord& server) const;
+  std::string_view Body() const;
+  OutgoingRequest BuildServerRequest(const ServerRecord& server) const;
   void ArmHedge(Duration expected);
 
   void OnResult(const AttemptPtr& attempt, CallResult result);
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -48,7 +48,7 @@
   ResponseBounds bounds;
   bounds.max_body_bytes = kMaxProbeBodyBytes;
   probe->connection->Call(
-      wire::HealthRequest(ToString(server.endpoint), path), bounds,
+      {wire::HealthRequest(ToString(server.endpoint), path)}, bounds,
       [this, probe](const CallResult& result) { OnResult(probe, result); });
 }
 
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -176,7 +176,7 @@
   }
   queried_at_ = SteadyClock::now();
   connection_->Call(
-      std::move(request), FeedBounds(),
+      {std::move(request)}, FeedBounds(),
       [this, call_id](const CallResult& result) { OnResult(call_id, result); });
   ArmTimeout(call_id, queried_at_ + timeout);
 }
@@ -436,7 +436,7 @@
   query.suspects = {notice};
   const auto connection = context_->connections.Open(reader);
   connection->Call(
-      BuildPeerRequest(reader, query), ResponseBounds(),
+      {BuildPeerRequest(reader, query)}, ResponseBounds(),
       [this, reader](const CallResult& result) {
         if (std::holds_alternative<ServerResponse>(result)) return;
         context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
