Return the memory of responses once they are written

A host kept the memory of the largest response that each open connection of a caller had carried: 120 connections that had each got one response of 2 MB took 256,028,672 bytes more, above the 160 MB of a small host.

Cause: the buffer of outgoing bytes was emptied without returning its memory, and its bytes were not taken from the host's byte budget. A body is now written without being copied, counts in the budget until it is written, and its memory is returned then.

Not shown by a test: that a response which the kernel does not take at once counts in the budget.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/caller_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -32,6 +33,8 @@
 // share of what is left of it. A body of 64 MiB, the largest that users publish
 // as their limit, fits a host with 160 MB if no other is held.
 constexpr double kRequestBodyShare = 6;
+// Bodies from this size on are written without being copied.
+constexpr std::size_t kMinUncopiedBodyBytes = 16 * 1024;
 constexpr std::string_view kLineEnd = "\r\n";
 // Empty lines before one request line that are skipped; RFC 9112, section 2.2,
 // asks for at least one.
@@ -363,7 +366,7 @@
 void CallerConnection::WriteResponses() {
   if (writing_ || !open_) return;
   while (!pending_.empty() && pending_.front()->response &&
-         !close_after_write_) {
+         !close_after_write_ && outgoing_body_.empty()) {
     const std::shared_ptr<PendingResponse> pending =
         std::move(pending_.front());
     pending_.pop_front();
@@ -374,44 +377,53 @@
     const bool close = pending->close_after || last;
     if (close) accepts_requests_ = false;
     close_after_write_ = close;
-    AppendResponse(*pending, close, &outgoing_);
+    AppendResponse(*pending, close);
+    outgoing_held_.Absorb(std::move(pending->response->held));
   }
   if (outgoing_.empty()) return;
   writing_ = true;
+  const std::array<asio::const_buffer, 2> bytes = {
+      asio::buffer(outgoing_), asio::buffer(outgoing_body_)};
   asio::async_write(
-      socket_, asio::buffer(outgoing_),
+      socket_, bytes,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         self->OnWritten(error);
       });
 }
 
-void CallerConnection::AppendResponse(const PendingResponse& pending,
-                                      bool close, std::string* out) const {
-  const CallerResponse& response = *pending.response;
-  *out += "HTTP/1.1 " + std::to_string(response.status) + " ";
-  *out +=
+void CallerConnection::AppendResponse(PendingResponse& pending, bool close) {
+  CallerResponse& response = *pending.response;
+  outgoing_ += "HTTP/1.1 " + std::to_string(response.status) + " ";
+  outgoing_ +=
       AsView(http::obsolete_reason(static_cast<http::status>(response.status)));
-  *out += "\r\n" + response.fields;
+  outgoing_ += "\r\n" + response.fields;
   if (close) {
-    *out += "Connection: close\r\n";
+    outgoing_ += "Connection: close\r\n";
   } else if (pending.is_http_1_0) {
-    *out += "Connection: keep-alive\r\n";
+    outgoing_ += "Connection: keep-alive\r\n";
   }
   if (response.head_content_length) {
     if (!response.head_content_length->empty()) {
-      *out += "Content-Length: " + *response.head_content_length + "\r\n";
+      outgoing_ += "Content-Length: " + *response.head_content_length + "\r\n";
     }
-    *out += "\r\n";
+    outgoing_ += "\r\n";
     return;
   }
-  *out +=
+  outgoing_ +=
       "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
-  *out += response.body;
+  if (response.body.size() < kMinUncopiedBodyBytes) {
+    outgoing_ += response.body;
+  } else {
+    outgoing_body_ = std::move(response.body);
+  }
 }
 
 void CallerConnection::OnWritten(const error_code& error) {
   writing_ = false;
   outgoing_.clear();
+  // Assignment of an empty string would keep the memory.
+  std::string().swap(outgoing_body_);
+  outgoing_held_.Release();
   if (!open_) return;
   if (error) {
     OnCallerDisconnected();
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -127,8 +127,8 @@
   void OnResponse(const std::shared_ptr<PendingResponse>& pending,
                   CallerResponse response);
   void WriteResponses();
-  void AppendResponse(const PendingResponse& pending, bool close,
-                      std::string* out) const;
+  // Appends a response to what is written next, and takes its body.
+  void AppendResponse(PendingResponse& pending, bool close);
   void OnWritten(const boost::system::error_code& error);
   void OnCallerDisconnected();
   void Close();
@@ -143,6 +143,8 @@
   bool continue_due_ = false;  // The caller waits for 100 Continue.
   std::deque<std::shared_ptr<PendingResponse>> pending_;
   std::string outgoing_;
+  std::string outgoing_body_;      // Follows `outgoing_`.
+  ByteReservation outgoing_held_;  // For the bodies being written.
   bool open_ = true;
   bool reading_ = false;
   bool writing_ = false;
