Answer 413 and 431 only by limits that the store confirms

Cause: the sizes of the table held were applied whether or not the store confirmed the table, and built-in sizes under the version of a table that states none. Sizes that no configuration states are unknown, as before the first configuration. Rules kept: nothing of such a request was sent to a server, so 503 is true.

--- a/heatherlatch/routing/route_table.h
+++ b/heatherlatch/routing/route_table.h
@@ -62,6 +62,9 @@
   std::vector<RouteName> unreadable_routes;  // In `routes` too.
   std::map<ServiceName, ServiceSettings> services;
   CallerLimits limits;
+  // Whether the configuration states `limits`. False: the times are built-in
+  // ones, and the sizes are not known.
+  bool states_limits = false;
 
   // Finds the route of the authority whose path prefix is the longest match.
   // @param authority  the Host field, with or without a port; letter case is
--- a/heatherlatch/routing/unrouted_decision.cc
+++ b/heatherlatch/routing/unrouted_decision.cc
@@ -4,12 +4,14 @@
 
 namespace heatherlatch {
 
+bool IsConfirmed(const TableConfirmation& confirmation, TimePoint now) {
+  return confirmation.is_newest && confirmation.confirmed_at &&
+         now - *confirmation.confirmed_at <= kMaxConfirmationAge;
+}
+
 UnroutedDecision DecideUnrouted(const TableConfirmation& confirmation,
                                 TimePoint now) {
-  if (!confirmation.is_newest || !confirmation.confirmed_at ||
-      now - *confirmation.confirmed_at > kMaxConfirmationAge) {
-    return NotConfirmed{};
-  }
+  if (!IsConfirmed(confirmation, now)) return NotConfirmed{};
   return NoSuchRoute{};
 }
 
--- a/heatherlatch/routing/unrouted_decision.h
+++ b/heatherlatch/routing/unrouted_decision.h
@@ -18,6 +18,11 @@
 
 namespace heatherlatch {
 
+// @return whether the table held is the newest one, and the store confirmed it
+//     at most `kMaxConfirmationAge` before `now`. A request is denied by the
+//     table only then.
+bool IsConfirmed(const TableConfirmation& confirmation, TimePoint now);
+
 // The published configuration has no such route: the caller must not retry.
 struct NoSuchRoute {};
 // The host does not know whether the published configuration has the route: the
@@ -25,9 +30,8 @@
 struct NotConfirmed {};
 using UnroutedDecision = std::variant<NoSuchRoute, NotConfirmed>;
 
-// @return NoSuchRoute if the table is the newest one and the store confirmed it
-//     at most `kMaxConfirmationAge` before `now`, otherwise NotConfirmed.
-//     Within that age, a configuration that may be in force lacks the route.
+// @return NoSuchRoute if the table is confirmed, otherwise NotConfirmed. Within
+//     that age, a configuration that may be in force lacks the route.
 UnroutedDecision DecideUnrouted(const TableConfirmation& confirmation,
                                 TimePoint now);
 
--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "heatherlatch/routing/request_target.h"
+#include "heatherlatch/routing/unrouted_decision.h"
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "platform/caller_fields.h"
@@ -97,7 +98,7 @@
 }
 
 void CallerConnection::ApplyLimitsInForce() {
-  if (!context_->routes) return;
+  if (!context_->routes || !context_->routes->states_limits) return;
   const CallerLimits& limits = context_->routes->limits;
   const std::uint64_t version = context_->routes->version;
   request_.header_limit = LargerLimit(
@@ -207,6 +208,13 @@
                                     unsigned status) {
   const std::string part(limit_name);
   if (const auto* too_large = std::get_if<TooLarge>(&verdict)) {
+    // A newer configuration may allow the size.
+    if (!IsConfirmed(context_->table_confirmation, SteadyClock::now())) {
+      RejectRequest({kServiceUnavailable,
+                     "the " + part + " limit is not confirmed", limit_name,
+                     too_large->limit, kRetryAfter});
+      return true;
+    }
     RejectRequest(
         {status, part + " limit exceeded", limit_name, too_large->limit, {}});
     return true;
