Send no success that no server signed: OPTIONS * gets 404 again

No configuration allows the request, so a 404 does not deny it. Change: the target is routed as any other, which no prefix matches.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -58,12 +58,6 @@
          !parser.chunked();
 }
 
-// @return whether the request asks for the options of the host and not of a
-//     route (RFC 9110, section 9.3.7)
-bool IsForHost(const CallerRequest& request) {
-  return request.method == "OPTIONS" && request.target == "*";
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
@@ -318,15 +312,7 @@
   request_.first_on_connection = false;
   BeginRequest();
   pending_.push_back(pending);
-  if (IsForHost(request)) {
-    context_->metrics.Count("requests", "answered");
-    context_->metrics.CountResponse(ResponseOrigin::kHost, kOk);
-    OnResponse(pending,
-               {kOk, wire::HostResponseFields(request.request_id, std::nullopt),
-                "", std::nullopt});
-  } else {
-    StartExchange(pending, std::move(request));
-  }
+  StartExchange(pending, std::move(request));
 }
 
 void CallerConnection::StartExchange(
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -8,8 +8,8 @@
 // A request is rejected with 413 or 431 only for a published limit: the largest
 // in force since its first byte. Without a configuration, a request of which
 // more would have to be held than a host does gets 503. Empty lines before a
-// request are skipped, an absolute-form target is forwarded in origin form, and
-// "OPTIONS *" is answered by the host.
+// request are skipped, and an absolute-form target is forwarded in origin form.
+// The host answers no request with a success of its own.
 //
 // Example:
 //   auto connection = std::make_shared<CallerConnection>(std::move(socket),
