--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "heatherlatch/routing/request_target.h"
+#include "heatherlatch/routing/unrouted_decision.h"
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "platform/caller_fields.h"
@@ -64,12 +65,6 @@
          !parser.chunked();
 }
 
-// @return whether the request asks for the options of the host and not of a
-//     route (RFC 9110, section 9.3.7)
-bool IsForHost(const CallerRequest& request) {
-  return request.method == "OPTIONS" && request.target == "*";
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
@@ -105,7 +100,7 @@
 }
 
 void CallerConnection::ApplyLimitsInForce() {
-  if (!context_->routes) return;
+  if (!context_->routes || !context_->routes->states_limits) return;
   const CallerLimits& limits = context_->routes->limits;
   const std::uint64_t version = context_->routes->version;
   request_.header_limit = LargerLimit(
@@ -224,6 +219,13 @@
                                     unsigned status) {
   const std::string part(limit_name);
   if (const auto* too_large = std::get_if<TooLarge>(&verdict)) {
+    // A newer configuration may allow the size.
+    if (!IsConfirmed(context_->table_confirmation, SteadyClock::now())) {
+      RejectRequest({kServiceUnavailable,
+                     "the " + part + " limit is not confirmed", limit_name,
+                     too_large->limit, kRetryAfter});
+      return true;
+    }
     RejectRequest(
         {status, part + " limit exceeded", limit_name, too_large->limit, {}});
     return true;
@@ -333,15 +335,7 @@
   request_.first_on_connection = false;
   BeginRequest();
   pending_.push_back(pending);
-  if (IsForHost(request)) {
-    context_->metrics.Count("requests", "answered");
-    context_->metrics.CountResponse(ResponseOrigin::kHost, kOk);
-    OnResponse(pending,
-               {kOk, wire::HostResponseFields(request.request_id, std::nullopt),
-                "", std::nullopt});
-  } else {
-    StartExchange(pending, std::move(request));
-  }
+  StartExchange(pending, std::move(request));
 }
 
 void CallerConnection::StartExchange(
