Let a caller retry at once after a shed if no other server is left

Trace: "placed" at "i-1", "shed-by-server" with "had_room":1, "not-placed" with "no-server" and "asked":0, "ended" with "no-server". The server shed the request and had a free slot; the retry budget granted a retry; no other server was left; so the host answered 250 ms. With an empty budget it answered 10 ms. docs/design/platform.md promises 10 ms in both cases: "A caller whose request was shed by a server with a free slot may retry after 10 ms". The old test passed whenever its first request had spent the budget, and failed when slow health responses sent that request to i-2. Now the exchange keeps whether the server that shed the request last had a free slot. If no server is left it refuses as "shed-by-server", with the Retry-After of that. Still only requests that did not run are refused: RefuseOrFail() decides as before.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -402,7 +402,12 @@
   } else {
     const auto& refusal = std::get<Refuse>(decision);
     if (!may_have_run_) LogNotPlaced(ToString(refusal.reason), choice);
-    RefuseOrFail(refusal.reason, refusal.retry_after);
+    if (refusal.reason == NotRunReason::kNoServer && shed_with_room_) {
+      RefuseOrFail(NotRunReason::kShedByServer,
+                   RetryAfterShed(*shed_with_room_));
+    } else {
+      RefuseOrFail(refusal.reason, refusal.retry_after);
+    }
   }
 }
 
@@ -640,6 +645,7 @@
                        {"status", static_cast<double>(status)},
                        {"had_room", had_room ? 1.0 : 0.0}});
   context_->metrics.Count("attempts", "shed");
+  shed_with_room_ = had_room;
   if (!attempts_.empty()) return;
   if (TryTakeRetry()) {
     SelectServer(SendKind::kPrimary);
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -191,6 +191,8 @@
   int connect_failures_ = 0;  // Sends that failed before a byte was sent.
   int deferrals_ = 0;         // Probe rounds after which it was not sent.
   bool may_have_run_ = false;
+  // Whether the server that shed it last had a free slot.
+  std::optional<bool> shed_with_room_;
   bool finished_ = false;
   std::optional<ConfigurationBasis> configuration_basis_;  // Of a refusal.
 };
