--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -139,8 +139,9 @@
                     [self = shared_from_this(), body = request_.body](
                         const error_code& error, std::size_t) {
                       self->writing_ = false;
-                      if (error && self->open_)
+                      if (error && self->open_) {
                         self->Abort("write: " + error.message());
+                      }
                     });
 }
 
