Accept all waiting connections in one turn of the loop

So 1.25 s are missing in the host's account: before it read the request, or after it ended it. The first round of probes took 0.16 s.

Cause: Accept took one connection in each turn of the loop.

Now each turn accepts every connection that waits. Test on real sockets: 60 callers connect to a host whose turns take 50 ms; before, all responses took 62 turns; now below 30.

--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -97,6 +97,7 @@
 Result<void> TrafficHost::ListenForCallers() {
   BOOST_LEAF_AUTO(acceptor, Listen(io_, context_.settings.caller_listen));
   acceptor_.emplace(std::move(acceptor));
+  acceptor_->non_blocking(true);
   return {};
 }
 
@@ -127,14 +128,28 @@
           accept_failed_ = true;  // The next maintenance accepts again.
           return;
         }
-        auto caller = std::make_shared<CallerConnection>(std::move(socket),
-                                                         &context_, &prober_);
-        callers_.push_back(caller);
-        caller->Start();
+        Serve(std::move(socket));
+        AcceptWaiting();
         Accept();
       });
 }
 
+void TrafficHost::AcceptWaiting() {
+  error_code error;
+  while (!error) {
+    asio::ip::tcp::socket socket(*io_);
+    acceptor_->accept(socket, error);
+    if (!error) Serve(std::move(socket));
+  }
+}
+
+void TrafficHost::Serve(asio::ip::tcp::socket socket) {
+  auto caller = std::make_shared<CallerConnection>(std::move(socket), &context_,
+                                                   &prober_);
+  callers_.push_back(caller);
+  caller->Start();
+}
+
 void TrafficHost::AwaitSignal() {
   signals_.async_wait([this](const error_code& error, int signal) {
     if (error) return;
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -48,6 +48,10 @@
                      SimpleHttpServer::Handler handler);
   std::string MetricsPage();
   void Accept();
+  // Accepts the other connections that wait. `Accept` accepts one in each turn
+  // of the loop, so that on a busy host the others would wait for many turns.
+  void AcceptWaiting();
+  void Serve(boost::asio::ip::tcp::socket socket);
   void AwaitSignal();
   void ScheduleMaintenance();
   void RunMaintenance();
