Count the delay of the loop as time that a request has waited

Callers saw: a request that the host read after its deadline, because the loop was busy, was probed for, sent to a server and run. Real-socket test, before: a request with a time budget of 1 s that a host read 2.9 s late got 200, and the server ran it; now it gets 503 with Retry-After and does not run.

Cause: the time budget and the route's time-out counted from the parsing.

LoopDelay (pure, tested in virtual time) learns from late timers that exist anyway that the loop is behind. Only then each turn is measured, by a posted handler, until one is short again; no timer is added, and nothing runs on a host that keeps up. A request counts from the earliest time at which it can have arrived. What the host cannot probe for, send and read in the time left gets 503 at once, before a probe. A reading no older than the delay replaces a probe, since the reply to a probe would be as old when it is read.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -124,6 +124,7 @@
     return;
   }
   last_activity_ = SteadyClock::now();
+  arrived_at_ = context_->EarliestArrival(last_activity_);
   buffer_.commit(size);
   if (!accepts_requests_) buffer_.consume(buffer_.size());
   ParseRequests();
@@ -287,7 +288,7 @@
   request.authority = std::string(AsView(message[http::field::host]));
   request.request_id = fields.request_id;
   request.time_budget = fields.time_budget;
-  request.read_at = SteadyClock::now();
+  request.read_at = arrived_at_;
   request.has_body =
       message.find(http::field::content_length) != message.end() ||
       message.chunked();
@@ -398,6 +399,7 @@
     return;
   }
   last_activity_ = SteadyClock::now();
+  arrived_at_ = last_activity_;
   if (close_after_write_) {
     error_code ignored;  // The caller may have closed the connection already.
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -146,6 +146,7 @@
   bool close_after_write_ = false;
   bool send_closed_ = false;
   TimePoint last_activity_;
+  TimePoint arrived_at_;  // The bytes read last, at the earliest.
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -124,6 +124,10 @@
   digest_ = DigestOf(request_.method, request_.target, request_.body);
   context_->RetryBudgetFor(service_).OnSuccess();
   ArmDeadline();
+  if (IsTooLateForHost()) {
+    RefuseAsNotRun(NotRunReason::kDeadlineTooShort, kRetryAfter);
+    return;
+  }
   SelectServer(SendKind::kPrimary);
 }
 
@@ -199,6 +203,13 @@
       });
 }
 
+bool Exchange::IsTooLateForHost() const {
+  const Duration delay = context_->loop_delay.delay();
+  if (delay == Duration::zero()) return false;
+  return TimeLeft() <=
+         2 * delay + context_->statistics.Expect(*route_).service_time;
+}
+
 std::vector<Candidate> Exchange::Eligible() const {
   const TimePoint now = SteadyClock::now();
   std::vector<Candidate> eligible;
@@ -303,10 +314,14 @@
   for (std::size_t i = first; i < count; ++i) {
     candidates_[i].probe_pending = true;
   }
+  // On a host that is behind, the reply to a probe is as old as the delay when
+  // it is read.
+  const Duration max_age =
+      std::max(kReadingMaxAge, context_->loop_delay.delay());
   for (std::size_t i = first; i < count && round == round_; ++i) {
     const Candidate& candidate = candidates_[i];
     const auto known = context_->observations.Reading(
-        candidate.server.name, kReadingMaxAge, SteadyClock::now());
+        candidate.server.name, max_age, SteadyClock::now());
     if (known) {
       OnReply(round, i, {Health::kHealthy, known, candidate.cold});
       continue;
@@ -410,7 +425,9 @@
   step_timer_.expires_after(delay);
   step_timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
-        if (!error && !self->finished_) self->SelectServer(SendKind::kPrimary);
+        if (error || self->finished_) return;
+        self->context_->OnDue(self->step_timer_.expiry(), SteadyClock::now());
+        self->SelectServer(SendKind::kPrimary);
       });
 }
 
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -43,7 +43,7 @@
   std::string body;
   bool has_body = false;
   std::optional<Duration> time_budget;  // As stated by the caller.
-  TimePoint read_at;
+  TimePoint read_at;  // When it can have arrived at the earliest.
 };
 
 struct CallerResponse {
@@ -90,6 +90,9 @@
 
   void Route();
   void ArmDeadline();
+  // @return whether the deadline passes before this host, which is behind, can
+  //     have probed a server and read its response
+  bool IsTooLateForHost() const;
   // Checks the content against the crash suspects and, if it may be sent,
   // counts it as running.
   // @return whether the request may be sent now; otherwise a later attempt is
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/traffic_context.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 namespace heatherlatch {
@@ -62,6 +63,27 @@
   return !routes && SteadyClock::now() < first_configuration_.expiry();
 }
 
+void TrafficContext::OnDue(TimePoint due, TimePoint now) {
+  loop_delay.OnDue(due, now);
+  if (loop_delay.IsBehind() && !measures_turn_) MeasureTurn(now);
+}
+
+TimePoint TrafficContext::EarliestArrival(TimePoint now) {
+  OnDue(next_maintenance, now);
+  return loop_delay.EarliestArrival(now);
+}
+
+void TrafficContext::MeasureTurn(TimePoint began) {
+  measures_turn_ = true;
+  // A posted handler runs after the sockets are polled.
+  boost::asio::post(*io, [this, began] {
+    const TimePoint now = SteadyClock::now();
+    measures_turn_ = false;
+    loop_delay.OnTurn(began, now);
+    if (loop_delay.IsBehind()) MeasureTurn(now);
+  });
+}
+
 void TrafficContext::ApplyMemoryLimit() {
   held_bytes->SetCapacity(HeldBytesLimit(settings));
 }
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -15,6 +15,7 @@
 
 #include "heatherlatch/admission/byte_budget.h"
 #include "heatherlatch/admission/crash_suspects.h"
+#include "heatherlatch/admission/loop_delay.h"
 #include "heatherlatch/admission/token_bucket.h"
 #include "heatherlatch/fleet/server_directory.h"
 #include "heatherlatch/fleet/server_observations.h"
@@ -41,6 +42,12 @@
   // Resumes the requests held for the first configuration.
   void OnConfiguration() { first_configuration_.cancel(); }
 
+  // Notes that a timer is handled at `now`, or not handled yet, though it was
+  // due at `due`. While the loop is behind, measures each of its turns.
+  void OnDue(TimePoint due, TimePoint now);
+  // @return the earliest time at which bytes that are read now can have arrived
+  TimePoint EarliestArrival(TimePoint now);
+
   // Takes over the memory limit of the settings.
   void ApplyMemoryLimit();
   // @return whether the host can hold the response to a further request
@@ -76,13 +83,17 @@
   TrafficMetrics metrics;
   std::mt19937_64 rng;
   bool stopping = false;
+  LoopDelay loop_delay;
+  TimePoint next_maintenance = TimePoint::max();
 
  private:
   RegionName RegionOf(const ZoneName& zone) const;
+  void MeasureTurn(TimePoint began);
 
   std::map<ServiceName, RetryBudget> retries_;
   // Expires when requests are no longer held for the first configuration.
   boost::asio::steady_timer first_configuration_;
+  bool measures_turn_ = false;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -164,6 +164,7 @@
 
 void TrafficHost::ScheduleMaintenance() {
   maintenance_timer_.expires_after(kMaintenanceInterval);
+  context_.next_maintenance = maintenance_timer_.expiry();
   maintenance_timer_.async_wait([this](const error_code& error) {
     if (error) return;
     RunMaintenance();
@@ -173,6 +174,7 @@
 
 void TrafficHost::RunMaintenance() {
   const TimePoint now = SteadyClock::now();
+  context_.OnDue(context_.next_maintenance, now);
   CheckForSuspension();
   if (++maintenance_rounds_ % kRoundsPerSettingsCheck == 0) CheckSettings();
   prober_.CancelOverdueProbes(now);
