--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -44,7 +44,7 @@
   ByteReservation held = {};  // For the body; to be kept as long as it.
   bool has_body = false;
   std::optional<Duration> time_budget;  // As stated by the caller.
-  TimePoint read_at;
+  TimePoint read_at;  // When it can have arrived at the earliest.
 };
 
 struct CallerResponse {
@@ -91,6 +91,9 @@
 
   void Route();
   void ArmDeadline();
+  // @return whether the deadline passes before this host, which is behind, can
+  //     have probed a server and read its response
+  bool IsTooLateForHost() const;
   // Checks the content against the crash suspects and, if it may be sent,
   // counts it as running.
   // @return whether the request may be sent now; otherwise a later attempt is
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -97,6 +97,7 @@
 Result<void> TrafficHost::ListenForCallers() {
   BOOST_LEAF_AUTO(acceptor, Listen(io_, context_.settings.caller_listen));
   acceptor_.emplace(std::move(acceptor));
+  acceptor_->non_blocking(true);
   return {};
 }
 
@@ -127,14 +128,28 @@
           accept_failed_ = true;  // The next maintenance accepts again.
           return;
         }
-        auto caller = std::make_shared<CallerConnection>(std::move(socket),
-                                                         &context_, &prober_);
-        callers_.push_back(caller);
-        caller->Start();
+        Serve(std::move(socket));
+        AcceptWaiting();
         Accept();
       });
 }
 
+void TrafficHost::AcceptWaiting() {
+  error_code error;
+  while (!error) {
+    asio::ip::tcp::socket socket(*io_);
+    acceptor_->accept(socket, error);
+    if (!error) Serve(std::move(socket));
+  }
+}
+
+void TrafficHost::Serve(asio::ip::tcp::socket socket) {
+  auto caller = std::make_shared<CallerConnection>(std::move(socket), &context_,
+                                                   &prober_);
+  callers_.push_back(caller);
+  caller->Start();
+}
+
 void TrafficHost::AwaitSignal() {
   signals_.async_wait([this](const error_code& error, int signal) {
     if (error) return;
@@ -149,6 +164,7 @@
 
 void TrafficHost::ScheduleMaintenance() {
   maintenance_timer_.expires_after(kMaintenanceInterval);
+  context_.next_maintenance = maintenance_timer_.expiry();
   maintenance_timer_.async_wait([this](const error_code& error) {
     if (error) return;
     RunMaintenance();
@@ -158,6 +174,7 @@
 
 void TrafficHost::RunMaintenance() {
   const TimePoint now = SteadyClock::now();
+  context_.OnDue(context_.next_maintenance, now);
   CheckForSuspension();
   if (++maintenance_rounds_ % kRoundsPerSettingsCheck == 0) CheckSettings();
   prober_.CancelOverdueProbes(now);
