--- a/heatherlatch/admission/request_limits.h
+++ b/heatherlatch/admission/request_limits.h
@@ -38,8 +38,7 @@
 };
 using SizeVerdict = std::variant<WithinLimits, TooLarge, Undecidable>;
 
-// @param bytes           bytes of the request's header or body, read or
-// declared
+// @param bytes           of the request's header or body, read or declared
 // @param limit           the limit that applies; absent while none is known
 // @param max_held_bytes  bytes that may be held while no limit is known
 SizeVerdict JudgeSize(std::uint64_t bytes,
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -117,7 +117,6 @@
   // Asks for the body that the caller holds back, once the responses to earlier
   // requests are written.
   void SendContinueIfDue();
-  void OnParseError(const boost::system::error_code& error);
   void OnRequest();
   CallerRequest TakeRequest();
   void StartExchange(const std::shared_ptr<PendingResponse>& pending,
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -10,7 +10,7 @@
 //
 // Example:
 //   auto connection = ClientConnection::Open(io, endpoint, budget);
-//   connection->Call(request, ResponseBounds(),
+//   connection->Call({request}, ResponseBounds(),
 //                    [](CallResult result) { ... });
 //
 // Thread safety: none; everything runs on the thread of the io_context.
