Let the requests of a service wait in one queue, and bound probes over all hosts

A response states its server's load with the request itself, so that a freed slot was not seen.

A host probes its share of probes_per_second, which follows from what the servers report (steering/probe_budget.h). Three servers are probed at first, the others only if these do not do. No request is sent to a server that is full by its own last word. What cannot be sent in time is refused at once, with a spread Retry-After. Exchange loses searching and waiting (server_search, service_queue).

--- a/heatherlatch/fleet/load_reading.h
+++ b/heatherlatch/fleet/load_reading.h
@@ -16,6 +16,15 @@
   return reading.running + reading.waiting < reading.slots;
 }
 
+// @return the load of a server after the response that stated `reading`: a
+//     server still counts the request to which it responds
+inline LoadReading WithoutOneRequest(LoadReading reading) {
+  // A request that waited takes the slot.
+  int& left = reading.waiting > 0 ? reading.waiting : reading.running;
+  left = left > 0 ? left - 1 : 0;
+  return reading;
+}
+
 }  // namespace heatherlatch
 
 #endif  // HEATHERLATCH_FLEET_LOAD_READING_H_
--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -16,6 +16,7 @@
 constexpr Range<Duration> kFirstWaitRange{Duration::zero(),
                                           std::chrono::minutes(1)};
 constexpr Range<double> kRetryShareRange{0, 1};
+constexpr Range<double> kProbesRange{1, 10'000};
 constexpr Range<double> kMemoryLimitRange{32, 1'000'000};
 constexpr double kBytesPerMegabyte = 1'000'000;
 
@@ -72,6 +73,8 @@
                   &settings.first_wait);
   AssignIfPresent(reader.Number("retry_share", kOptional, kRetryShareRange),
                   &settings.retry_share);
+  AssignIfPresent(reader.Number("probes_per_second", kOptional, kProbesRange),
+                  &settings.probes_per_second);
   ReadMemoryLimit(&reader, &settings);
   reader.Finish();
   if (!context.findings.empty()) return std::move(context.findings);
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -46,6 +46,9 @@
   std::uint64_t memory_limit_bytes = 160'000'000;
   // Retry budget: the share of requests that may be sent a second time, 0 to 1.
   double retry_share = 0.2;
+  // Health and load probes that one server may receive a second from all hosts
+  // together.
+  double probes_per_second = 60;
 };
 
 // @param yaml  the text of the file
--- a/heatherlatch/settings/traffic_host_settings_test.cc
+++ b/heatherlatch/settings/traffic_host_settings_test.cc
@@ -19,6 +19,7 @@
 stop_wait: 6s
 first_wait: 250ms
 retry_share: 0.2
+probes_per_second: 45
 memory_limit_mb: 260
 )";
 
@@ -40,6 +41,7 @@
   CHECK(settings.stop_wait == std::chrono::seconds(6));
   CHECK(settings.first_wait == std::chrono::milliseconds(250));
   CHECK(settings.retry_share == 0.2);
+  CHECK(settings.probes_per_second == 45);
   CHECK(settings.memory_limit_bytes == 260'000'000);
 }
 
@@ -62,6 +64,16 @@
   }
 }
 
+TEST_CASE("a rate of probes that is no number or not positive is reported") {
+  for (const char* value : {": many", ": 0", ": -1"}) {
+    std::string text = kFile;
+    text.replace(text.find(": 45"), 4, value);
+    const auto findings = FindingsOf(text);
+    REQUIRE(findings.size() == 1);
+    CHECK(findings[0].field == "probes_per_second");
+  }
+}
+
 TEST_CASE("each invalid setting of a traffic host is reported with its line") {
   std::string text = kFile;
   text.replace(text.find("10.0.0.1:8548"), 13, "nowhere");
@@ -73,7 +85,7 @@
   CHECK(findings[0].line == 5);
   CHECK(findings[1].field == "seeds");
   CHECK(findings[2].kind == FindingKind::kUnknownKey);
-  CHECK(findings[2].line == 16);
+  CHECK(findings[2].line == 17);
   CHECK(FindingsOf("host: a\n").size() == 6);
 }
 
--- a/heatherlatch/steering/placement_decision.cc
+++ b/heatherlatch/steering/placement_decision.cc
@@ -1,5 +1,7 @@
 #include "heatherlatch/steering/placement_decision.h"
 
+#include <algorithm>
+
 namespace heatherlatch {
 namespace {
 
@@ -19,6 +21,10 @@
 constexpr int kMaxWaitInLatencyTargets = 2;
 constexpr int kMinTimeLeftInServiceTimes = 4;
 
+// How much longer than the mean most requests take on servers that are nearly
+// full. One that is sent with less time left will probably miss its target.
+constexpr double kUsualWorstFactor = 1.6;
+
 Duration TimeToTarget(const PlacementState& state) {
   return state.latency_target - state.waited - kCallerRoundTrip;
 }
@@ -57,7 +63,9 @@
   }
   const Duration time_to_target = TimeToTarget(state);
   const bool has_free_slot = choice->occupancy != Occupancy::kQueued;
-  if (in_time && choice->expected <= time_to_target) return SendNow{};
+  if (in_time && has_free_slot && choice->expected <= time_to_target) {
+    return SendNow{};
+  }
   if (in_time && has_free_slot &&
       choice->expected < kNearMissFactor * time_to_target) {
     return SendNow{};
@@ -72,6 +80,30 @@
   return Refuse{NotRunReason::kQueueFull, kRetryAfter};
 }
 
+WaitBounds BoundWait(const PlacementState& state) {
+  const Duration until_late = TimeToTarget(state) -
+                              Scale(state.service_time, kUsualWorstFactor) -
+                              kRoundTripInRegion;
+  const Duration may_wait = std::min(
+      kMaxWaitInLatencyTargets * state.latency_target - state.waited,
+      state.time_left - kMinTimeLeftInServiceTimes * state.service_time);
+  // In the last part of its wait a request accepts any server with a free slot.
+  const Duration last_part = state.service_time / 2;
+  return {until_late,
+          std::max({Duration::zero(), until_late, may_wait + last_part})};
+}
+
+PlacementDecision DecideWithoutReading(const PlacementState& state) {
+  if (BoundWait(state).until_given_up > Duration::zero()) {
+    return ProbeAgain{kProbeAgainInterval};
+  }
+  return Refuse{NotRunReason::kQueueFull, kRetryAfter};
+}
+
+bool MayCrossRegions(const ExpectedWork& work) {
+  return work.response_bytes <= kMaxCrossRegionResponseBytes;
+}
+
 PlacementDecision DecideIsolatedPlacement(const PlacementState& state) {
   if (LoadMayChangeInTime(state)) return ProbeAgain{kProbeAgainInterval};
   return Refuse{NotRunReason::kSuspectedOfCrashingServers, kRetryAfter};
@@ -90,7 +122,7 @@
   if (!choice) return SearchScope::kEverywhere;
   // Expensive traffic between regions is better than missing the deadline.
   if (choice->expected >= state.time_left) return SearchScope::kEverywhere;
-  if (work.response_bytes > kMaxCrossRegionResponseBytes) return std::nullopt;
+  if (!MayCrossRegions(work)) return std::nullopt;
   // One probe round trip and one request round trip.
   const bool may_meet_target =
       2 * kRoundTripBetweenRegions + state.service_time <= time_to_target;
--- a/heatherlatch/steering/placement_decision.h
+++ b/heatherlatch/steering/placement_decision.h
@@ -48,8 +48,8 @@
   bool unreachable = false;
 };
 
-// Interval between two probe rounds of a request, and of a late request. A
-// fifth and a half of the shortest mean service time of the users' services.
+// Interval between two searches for the waiting requests of a service. A fifth
+// of the shortest mean service time of the users' services.
 inline constexpr Duration kProbeAgainInterval = std::chrono::milliseconds(20);
 inline constexpr Duration kProbeAgainIntervalWhenLate =
     std::chrono::milliseconds(40);
@@ -75,6 +75,23 @@
 PlacementDecision DecidePlacement(const std::optional<Choice>& choice,
                                   const PlacementState& state);
 
+// How long a request may wait for a server.
+struct WaitBounds {
+  Duration until_late{};      // Sent later, it misses its latency target.
+  Duration until_given_up{};  // Sent later, it would hardly be of use.
+};
+
+// @return the bounds of the wait of a request, from now
+WaitBounds BoundWait(const PlacementState& state);
+
+// Decides about a request of which no candidate has a reading, because the
+// budget allowed no probe: it waits while a server may still serve it in time.
+PlacementDecision DecideWithoutReading(const PlacementState& state);
+
+// @return whether a response of the expected size may cross regions only to be
+//     in time: a larger one costs more than it is worth
+bool MayCrossRegions(const ExpectedWork& work);
+
 // Decides about a request that must run alone on a server, where no candidate
 // is idle.
 //
--- a/heatherlatch/steering/placement_decision_test.cc
+++ b/heatherlatch/steering/placement_decision_test.cc
@@ -65,9 +65,11 @@
   CHECK(std::get<Refuse>(decision).reason == NotRunReason::kConnectFailed);
 }
 
-TEST_CASE("a request that meets its target is sent, also into a queue") {
-  CHECK(Describe(DecidePlacement(MakeChoice(284, Occupancy::kQueued),
+TEST_CASE("a request that meets its target is sent, but not into a queue") {
+  CHECK(Describe(DecidePlacement(MakeChoice(284, Occupancy::kNearlyFull),
                                  State(0, 3000))) == "send");
+  CHECK(Describe(DecidePlacement(MakeChoice(284, Occupancy::kQueued),
+                                 State(0, 3000))) == "probe");
   CHECK(Describe(DecidePlacement(MakeChoice(120, Occupancy::kAvailable),
                                  State(100, 3000))) == "send");
 }
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -12,23 +12,13 @@
 namespace heatherlatch {
 namespace {
 
-// Candidates probed before a request is sent. With six, more requests are
-// served while a deployment starts up than with three.
-constexpr std::size_t kCandidatesProbed = 6;
-
-// Age up to which a load reading replaces a probe: a third of the latency
-// between zones.
-constexpr Duration kReadingMaxAge = std::chrono::milliseconds(1);
-
-// How long a round of probes may take. Within a region: several round trips
-// plus the longest specified probe time. Between regions: two round trips,
-// since a connection may have to be opened first.
-constexpr Duration kProbeTimeoutInRegion = std::chrono::milliseconds(25);
-// If no server of a zone responds, the responses may be queued on this host's
-// own link. This is the time that a usual download takes on the slowest
-// specified link.
-constexpr Duration kProbeTimeoutLinkBusy = std::chrono::milliseconds(75);
-constexpr Duration kProbeTimeoutBetweenRegions = std::chrono::milliseconds(140);
+// How long a probe for a crash may take: several round trips within a region,
+// plus the longest specified probe time.
+constexpr Duration kCrashProbeTimeout = std::chrono::milliseconds(25);
+
+// Interval between two checks whether content that is suspected of crashing
+// servers may be sent.
+constexpr Duration kAdmissionInterval = std::chrono::milliseconds(40);
 
 // Time budget of a request if neither the caller nor the route states one.
 constexpr Duration kDefaultTimeBudget = std::chrono::seconds(30);
@@ -62,6 +52,12 @@
   return "clear";
 }
 
+void KeepIdle(std::vector<Candidate>* candidates) {
+  boost::remove_erase_if(*candidates, [](const Candidate& candidate) {
+    return !IsIdle(candidate);
+  });
+}
+
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 DecisionLog::Value LogValue(std::optional<bool> value) {
@@ -80,6 +76,10 @@
       deadline_timer_(*context->io),
       step_timer_(*context->io) {}
 
+Exchange::~Exchange() {
+  if (search_) search_->Cancel();
+}
+
 void Exchange::Start() {
   if (!context_->HasRoomForResponse()) {
     RefuseAsNotRun(NotRunReason::kOutOfMemory, kRetryAfter);
@@ -143,7 +143,7 @@
                                       {"digest", std::to_string(digest_)},
                                       {"verdict", ToString(verdict)}});
   }
-  if (verdict == SuspectVerdict::kWait) PlaceAfter(kProbeAgainIntervalWhenLate);
+  if (verdict == SuspectVerdict::kWait) SelectServerAfter(kAdmissionInterval);
   if (verdict == SuspectVerdict::kRefuse) {
     RefuseOrFail(NotRunReason::kSuspectedOfCrashingServers, kSuspectRetryAfter);
   }
@@ -159,15 +159,15 @@
 void Exchange::ProbeForCrash(const ServerRecord& server,
                              std::function<void()> then) {
   const bool was_admitted = std::exchange(admitted_, false);
-  const std::size_t round = ++round_;
-  const auto proceed = [self = shared_from_this(), round,
+  const std::size_t step = ++step_;
+  const auto proceed = [self = shared_from_this(), step,
                         then = std::move(then)] {
-    if (self->finished_ || round != self->round_) return;
-    ++self->round_;
+    if (self->finished_ || step != self->step_) return;
+    ++self->step_;
     self->step_timer_.cancel();
     then();
   };
-  step_timer_.expires_after(kProbeTimeoutInRegion);
+  step_timer_.expires_after(kCrashProbeTimeout);
   step_timer_.async_wait([proceed](const boost::system::error_code& error) {
     if (!error) proceed();
   });
@@ -214,21 +214,9 @@
   const TimePoint now = SteadyClock::now();
   std::vector<Candidate> eligible;
   for (const ServerEntry* entry : context_->directory.Usable(service_, now)) {
-    const ServerRecord& server = entry->record;
-    if (!context_->IsInHomeRegion(*route_, server.zone)) continue;
-    Candidate candidate;
-    candidate.server = server;
-    candidate.distance = context_->DistanceTo(server.zone);
-    candidate.cold = now < entry->cold_until ||
-                     context_->observations.IsCold(server.name, now);
-    if (candidate.cold &&
-        !context_->observations.MaySendDuringColdStart(server.name, now)) {
-      continue;
-    }
-    candidate.failed_recently =
-        context_->observations.FailedRecently(server.name, now);
-    candidate.connected = context_->connections.HasIdle(server.endpoint, now);
-    eligible.push_back(std::move(candidate));
+    if (!context_->IsInHomeRegion(*route_, entry->record.zone)) continue;
+    std::optional<Candidate> candidate = context_->CandidateFor(*entry, now);
+    if (candidate) eligible.push_back(std::move(*candidate));
   }
   // For idempotent routes, if every eligible server was tried, they are tried
   // again: one of them may respond over a new connection.
@@ -243,190 +231,129 @@
   return eligible;
 }
 
+PlacementState Exchange::State() const {
+  return {Elapsed(), route_->latency_target, TimeLeft(),
+          context_->statistics.Expect(*route_).service_time};
+}
+
 void Exchange::SelectServer(SendKind send_kind) {
   if (!Admit()) return;
-  send_kind_ = send_kind;
-  search_scope_ = SearchScope::kNearest;
-  candidates_ = DrawCandidates(Eligible(), kCandidatesProbed, &context_->rng);
-  if (candidates_.empty()) {
-    Place(send_kind);
-    return;
-  }
-  const bool in_other_region = IsInOtherRegion(candidates_.front());
-  if (in_other_region) search_scope_ = SearchScope::kEverywhere;
-  ProbeCandidates(
-      0, in_other_region ? kProbeTimeoutBetweenRegions : kProbeTimeoutInRegion);
-}
-
-bool Exchange::ProbeFartherServers(const std::optional<Choice>& choice,
-                                   const PlacementState& state,
-                                   const ExpectedWork& work) {
-  while (const auto next =
-             NextSearchScope(choice, state, work, search_scope_)) {
-    search_scope_ = *next;
-    const std::size_t first_new = candidates_.size();
-    for (Candidate& candidate :
-         DrawCandidates(UnprobedServers(search_scope_), kCandidatesProbed,
-                        &context_->rng)) {
-      candidates_.push_back(std::move(candidate));
-    }
-    if (candidates_.size() == first_new) continue;
-    const bool any_responded = choice && choice->has_reading;
-    ProbeCandidates(first_new, search_scope_ == SearchScope::kEverywhere
-                                   ? kProbeTimeoutBetweenRegions
-                               : any_responded ? kProbeTimeoutInRegion
-                                               : kProbeTimeoutLinkBusy);
+  if (send_kind == SendKind::kHedge) {
+    StartSearch(send_kind, [this](const FoundServers& found) {
+      PlaceHedge(found.candidates);
+    });
+  } else if (queue().empty()) {
+    StartSearch(send_kind, [this](const FoundServers& found) { Place(found); });
+  } else {
+    Wait();
+  }
+}
+
+void Exchange::StartSearch(SendKind send_kind, ServerSearch::Done done) {
+  if (!search_) {
+    search_ = std::make_shared<ServerSearch>(
+        context_, prober_,
+        SearchSubject{service_, [this] { return Eligible(); },
+                      [this] { return context_->statistics.Expect(*route_); },
+                      [this] { return State(); }, isolated_});
+  }
+  search_->Start(send_kind == SendKind::kPrimary,
+                 [weak = weak_from_this(),
+                  done = std::move(done)](const FoundServers& found) {
+                   const auto self = weak.lock();
+                   if (self && !self->finished_) done(found);
+                 });
+}
+
+bool Exchange::Place(const FoundServers& found) {
+  std::vector<Candidate> candidates = found.candidates;
+  const bool unreachable =
+      !candidates.empty() && std::all_of(candidates.begin(), candidates.end(),
+                                         [](const Candidate& candidate) {
+                                           return candidate.not_listening;
+                                         });
+  if (isolated_) KeepIdle(&candidates);
+  const std::optional<Choice> choice =
+      ChooseServer(candidates, context_->statistics.Expect(*route_));
+  PlacementState state = State();
+  state.unreachable = unreachable;
+  const PlacementDecision decision =
+      !choice && found.cut_by_budget         ? DecideWithoutReading(state)
+      : isolated_ && !choice && !unreachable ? DecideIsolatedPlacement(state)
+                                             : DecidePlacement(choice, state);
+  if (std::holds_alternative<SendNow>(decision)) {
+    Send(candidates[choice->index], choice->expected);
     return true;
   }
-  return false;
-}
-
-std::vector<Candidate> Exchange::UnprobedServers(SearchScope scope) const {
-  std::vector<Candidate> unprobed;
-  bool other_zone = false;
-  for (Candidate& candidate : Eligible()) {
-    if (IsInOtherRegion(candidate) == (scope == SearchScope::kRegion)) continue;
-    const auto is_same = [&](const Candidate& probed) {
-      return probed.server.name == candidate.server.name;
-    };
-    if (std::any_of(candidates_.begin(), candidates_.end(), is_same)) continue;
-    other_zone = other_zone || candidate.distance == Distance::kSameRegion;
-    unprobed.push_back(std::move(candidate));
-  }
-  if (other_zone) {
-    boost::remove_erase_if(unprobed, [](const Candidate& candidate) {
-      return candidate.distance == Distance::kSameZone;
-    });
+  if (std::holds_alternative<ProbeAgain>(decision)) {
+    if (++deferrals_ == 1) LogNotPlaced("waits", choice);
+    Wait();
+    return false;
+  }
+  const auto& refusal = std::get<Refuse>(decision);
+  queue().Leave(queue_id_);
+  if (!may_have_run_) LogNotPlaced(ToString(refusal.reason), choice);
+  if (refusal.reason == NotRunReason::kNoServer && shed_with_room_) {
+    RefuseOrFail(NotRunReason::kShedByServer, RetryAfterShed(*shed_with_room_));
+  } else {
+    RefuseOrFail(refusal.reason, RetryAfterWaiting());
   }
-  return unprobed;
+  return false;
 }
 
-void Exchange::ProbeCandidates(std::size_t first, Duration probe_timeout) {
-  const std::size_t round = ++round_;
-  replies_missing_ = candidates_.size() - first;
-  step_timer_.expires_after(probe_timeout);
-  step_timer_.async_wait([self = shared_from_this(),
-                          round](const boost::system::error_code& error) {
-    if (!error && round == self->round_) self->OnProbeTimeout();
+bool Exchange::PlaceOnOffered(std::vector<Candidate> offered) {
+  boost::remove_erase_if(offered, [this](const Candidate& candidate) {
+    return tried_.count(candidate.server.name) > 0 ||
+           !context_->IsInHomeRegion(*route_, candidate.server.zone);
   });
-  // The last reply places the request, and may add candidates.
-  const std::size_t count = candidates_.size();
-  for (std::size_t i = first; i < count; ++i) {
-    candidates_[i].probe_pending = true;
-  }
-  // On a host that is behind, the reply to a probe is as old as the delay when
-  // it is read.
-  const Duration max_age =
-      std::max(kReadingMaxAge, context_->loop_delay.delay());
-  for (std::size_t i = first; i < count && round == round_; ++i) {
-    const Candidate& candidate = candidates_[i];
-    const auto known = context_->observations.Reading(
-        candidate.server.name, max_age, SteadyClock::now());
-    if (known) {
-      OnReply(round, i, {Health::kHealthy, known, candidate.cold});
-      continue;
-    }
-    prober_->Probe(candidate.server, [self = shared_from_this(), round,
-                                      i](const LoadReply& reply) {
-      self->OnReply(round, i, reply);
-    });
-  }
+  RefreshCandidates(*context_, &offered, SteadyClock::now());
+  const ExpectedWork work = context_->statistics.Expect(*route_);
+  boost::remove_erase_if(offered, [&](const Candidate& candidate) {
+    return IsInOtherRegion(candidate) && !MayCrossRegions(work);
+  });
+  if (isolated_) KeepIdle(&offered);
+  const std::optional<Choice> choice = ChooseServer(offered, work);
+  if (!choice) return false;
+  const PlacementDecision decision = DecidePlacement(choice, State());
+  if (!std::holds_alternative<SendNow>(decision)) return false;
+  Send(offered[choice->index], choice->expected);
+  return true;
 }
 
-void Exchange::OnProbeTimeout() {
-  if (finished_) return;
-  const auto responded = [](const Candidate& candidate) {
-    return candidate.reading.has_value();
-  };
-  // If no candidate responded, this host's own network may be at fault, so no
-  // failure is recorded.
-  if (std::any_of(candidates_.begin(), candidates_.end(), responded)) {
-    for (const Candidate& candidate : candidates_) {
-      if (!candidate.probe_pending || IsInOtherRegion(candidate)) continue;
-      context_->observations.OnFailure(candidate.server.name,
-                                       SteadyClock::now());
-    }
-  }
-  Place(send_kind_);
+void Exchange::Wait() {
+  if (queue_id_ == 0) queue_id_ = queue().NextId();
+  const TimePoint now = SteadyClock::now();
+  const WaitBounds bounds = BoundWait(State());
+  WaitingRequest waiting;
+  waiting.id = queue_id_;
+  waiting.priority = route_->priority;
+  waiting.send_by = now + bounds.until_late;
+  waiting.give_up_at = now + bounds.until_given_up;
+  waiting.bytes = Body().size();
+  const auto self = shared_from_this();
+  queue().Join(waiting,
+               {[self](const FoundServers& found, bool own_search) {
+                  return own_search ? self->Place(found)
+                                    : self->PlaceOnOffered(found.candidates);
+                },
+                [self](ServerSearch::Done done) {
+                  self->StartSearch(SendKind::kPrimary, std::move(done));
+                },
+                [self] { self->RefuseAfterWait(); }});
 }
 
-void Exchange::OnReply(std::size_t round, std::size_t index,
-                       const LoadReply& reply) {
-  if (finished_ || round != round_) return;
-  Candidate& candidate = candidates_[index];
-  candidate.probe_pending = false;
-  candidate.sent_since_reading =
-      context_->observations.SentSinceReading(candidate.server.name);
-  candidate.reading = reply.reading;
-  candidate.cold = candidate.cold || reply.cold;
-  if (reply.health == Health::kHealthy && !candidate.reading) {
-    candidate.reading = LoadReading{0, 0, candidate.server.slots, 1};
+void Exchange::RefuseAfterWait() {
+  if (!may_have_run_) {
+    LogNotPlaced(ToString(NotRunReason::kQueueFull), std::nullopt);
   }
-  if (reply.health != Health::kHealthy) candidate.failed_recently = true;
-  candidate.not_listening = reply.health == Health::kNotListening;
-  const bool settled =
-      --replies_missing_ == 0 ||
-      (!isolated_ &&
-       IsSettled(candidates_, context_->statistics.Expect(*route_)));
-  if (settled) Place(send_kind_);
+  RefuseOrFail(NotRunReason::kQueueFull, RetryAfterWaiting());
 }
 
-void Exchange::Place(SendKind send_kind) {
-  if (finished_) return;
-  ++round_;
-  step_timer_.cancel();
-  const TimePoint now = SteadyClock::now();
-  for (Candidate& candidate : candidates_) {
-    candidate.probe_pending = false;
-    candidate.sent_since_reading =
-        context_->observations.SentSinceReading(candidate.server.name);
-  }
-  // Servers that were removed, and zones taken out of service, during the
-  // probes.
-  boost::remove_erase_if(candidates_, [&](const Candidate& candidate) {
-    return context_->directory.FindUsable(candidate.server.name, now) ==
-           nullptr;
-  });
-  const bool unreachable = !candidates_.empty() &&
-                           std::all_of(candidates_.begin(), candidates_.end(),
-                                       [](const Candidate& candidate) {
-                                         return candidate.not_listening;
-                                       });
-  if (isolated_) {
-    boost::remove_erase_if(candidates_, [](const Candidate& candidate) {
-      return !IsIdle(candidate);
-    });
-  }
-  const ExpectedWork work = context_->statistics.Expect(*route_);
-  const std::optional<Choice> choice = ChooseServer(candidates_, work);
-  if (send_kind == SendKind::kHedge) {
-    PlaceHedge(choice);
-    return;
-  }
-  const PlacementState state{Elapsed(), route_->latency_target, TimeLeft(),
-                             work.service_time, unreachable};
-  if (ProbeFartherServers(choice, state, work)) return;
-  const PlacementDecision decision = isolated_ && !choice && !unreachable
-                                         ? DecideIsolatedPlacement(state)
-                                         : DecidePlacement(choice, state);
-  if (std::holds_alternative<SendNow>(decision)) {
-    Send(candidates_[choice->index], choice->expected);
-  } else if (const auto* again = std::get_if<ProbeAgain>(&decision)) {
-    if (++deferrals_ == 1) LogNotPlaced("waits", choice);
-    PlaceAfter(again->after);
-  } else {
-    const auto& refusal = std::get<Refuse>(decision);
-    if (!may_have_run_) LogNotPlaced(ToString(refusal.reason), choice);
-    if (refusal.reason == NotRunReason::kNoServer && shed_with_room_) {
-      RefuseOrFail(NotRunReason::kShedByServer,
-                   RetryAfterShed(*shed_with_room_));
-    } else {
-      RefuseOrFail(refusal.reason, refusal.retry_after);
-    }
-  }
+Duration Exchange::RetryAfterWaiting() {
+  return queue().RetryAfter(TimeLeft(), SteadyClock::now());
 }
 
-void Exchange::PlaceAfter(Duration delay) {
+void Exchange::SelectServerAfter(Duration delay) {
   step_timer_.expires_after(delay);
   step_timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
@@ -443,7 +370,7 @@
       {{"request", request_.request_id},
        {"reason", reason},
        {"configuration", static_cast<double>(routes_->version)},
-       {"asked", static_cast<double>(candidates_.size())},
+       {"queued", static_cast<double>(queue().size())},
        {"best_ms", choice ? ToMilliseconds(choice->expected) : -1},
        {"best_is_full",
         choice && choice->occupancy == Occupancy::kQueued ? 1.0 : 0.0},
@@ -452,14 +379,16 @@
        {"left_ms", ToMilliseconds(TimeLeft())}});
 }
 
-void Exchange::PlaceHedge(const std::optional<Choice>& choice) {
+void Exchange::PlaceHedge(const std::vector<Candidate>& candidates) {
+  const std::optional<Choice> choice =
+      ChooseServer(candidates, context_->statistics.Expect(*route_));
   const bool meets_target =
       choice && choice->occupancy != Occupancy::kQueued &&
       Elapsed() + choice->expected + kCallerRoundTrip <= route_->latency_target;
   if (!meets_target || attempts_.empty()) return;
   if (!context_->RetryBudgetFor(service_).TryRetry()) return;
   context_->metrics.Count("sends", "second");
-  Send(candidates_[choice->index], choice->expected);
+  Send(candidates[choice->index], choice->expected);
 }
 
 void Exchange::Send(const Candidate& candidate, Duration expected) {
@@ -479,6 +408,9 @@
     context_->metrics.placement_time.Observe(now - request_.read_at);
   }
   context_->observations.OnSent(server.name, candidate.cold, now);
+  context_->ProbeBudgetFor(service_).OnSent(now);
+  queue().Leave(queue_id_);
+  queue().OnSent(now);
   context_->log.Write(
       "placed",
       {{"request", request_.request_id},
@@ -489,7 +421,7 @@
                        ? static_cast<double>(candidate.reading->running)
                        : -1},
        {"slowness", candidate.reading ? candidate.reading->slowdown : -1},
-       {"asked", static_cast<double>(candidates_.size())},
+       {"queued", static_cast<double>(queue().size())},
        {"expected_ms", ToMilliseconds(expected)},
        {"send", static_cast<double>(sends_)},
        {"waits", static_cast<double>(deferrals_)},
@@ -535,6 +467,7 @@
   if (finished_) return;
   attempts_.erase(std::remove(attempts_.begin(), attempts_.end(), attempt),
                   attempts_.end());
+  context_->ProbeBudgetFor(service_).OnEnded(SteadyClock::now());
   context_->connections.Release(attempt->server.endpoint, attempt->connection);
   context_->RecordCut(result, request_.request_id, attempt->server.name.str());
   if (const auto* not_sent = std::get_if<NotSent>(&result)) {
@@ -543,6 +476,8 @@
     OnNoResponse(attempt, no_response->problem);
   } else {
     OnServerResponse(attempt, std::get<ServerResponse>(std::move(result)));
+    // Last, since another request may now use the connection.
+    queue().OnReading(attempt->server.name, SteadyClock::now());
   }
 }
 
@@ -586,11 +521,14 @@
   const unsigned status = response.message.result_int();
   const auto fields = wire::ReadServerResponse(status, response.message);
   attempt->connection->idle_limit = fields.idle_timeout;
-  if (fields.load) {
-    context_->observations.OnReading(attempt->server.name, *fields.load, now);
-  }
   const ResponseProof proof =
       ClassifyResponse(status, fields, request_.request_id);
+  if (fields.load) {
+    const bool counts_itself = !std::holds_alternative<NotExecuted>(proof);
+    context_->observations.OnReading(
+        attempt->server.name,
+        counts_itself ? WithoutOneRequest(*fields.load) : *fields.load, now);
+  }
   if (const auto* not_trusted = std::get_if<NotTrusted>(&proof)) {
     LogNotAccepted(attempt, status, fields, not_trusted->reason);
     attempt->connection->Cancel();
@@ -774,9 +712,7 @@
                       std::string_view reason) {
   finished_ = true;
   EndAdmission();
-  deadline_timer_.cancel();
-  step_timer_.cancel();
-  CancelAttempts();
+  StopTimersAndAttempts();
   const Duration total = Elapsed();
   context_->metrics.Count("requests", outcome);
   context_->metrics.request_time.Observe(total);
@@ -807,9 +743,7 @@
   if (finished_) return;
   finished_ = true;
   EndAdmission();
-  deadline_timer_.cancel();
-  step_timer_.cancel();
-  CancelAttempts();
+  StopTimersAndAttempts();
   done_ = nullptr;
   context_->metrics.Count("requests", "abandoned");
   context_->log.Write("caller-gone",
@@ -817,8 +751,15 @@
                        {"waited_ms", ToMilliseconds(Elapsed())}});
 }
 
-void Exchange::CancelAttempts() {
-  for (const AttemptPtr& attempt : attempts_) attempt->connection->Cancel();
+void Exchange::StopTimersAndAttempts() {
+  deadline_timer_.cancel();
+  step_timer_.cancel();
+  if (search_) search_->Cancel();
+  if (queue_id_ != 0) queue().Leave(queue_id_);
+  for (const AttemptPtr& attempt : attempts_) {
+    attempt->connection->Cancel();
+    context_->ProbeBudgetFor(service_).OnEnded(SteadyClock::now());
+  }
   attempts_.clear();
 }
 
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -1,10 +1,10 @@
 // Handles one request of a caller, from its receipt to the response.
 //
-// Probes the load of a few candidate servers, sends the request to the best of
-// them, and relays the response if `ClassifyResponse` permits it. Retries and
-// hedges requests of idempotent routes within the retry budget. A request of
-// any other route is sent again only if the server stated that it did not
-// execute it, or if the connection failed before a byte was sent.
+// Searches for a server, sends the request to it, and relays the response if
+// `ClassifyResponse` permits it. Retries and hedges requests of idempotent
+// routes within the retry budget. A request of any other route is sent again
+// only if the server stated that it did not execute it, or if the connection
+// failed before a byte was sent.
 //
 // Example:
 //   auto exchange = std::make_shared<Exchange>(
@@ -29,6 +29,8 @@
 #include "heatherlatch/steering/placement_decision.h"
 #include "heatherlatch/traffic/configuration_basis.h"
 #include "heatherlatch/traffic/load_prober.h"
+#include "heatherlatch/traffic/server_search.h"
+#include "heatherlatch/traffic/service_queue.h"
 #include "heatherlatch/traffic/traffic_context.h"
 #include "platform/server_fields.h"
 
@@ -66,6 +68,7 @@
 
   Exchange(TrafficContext* context, LoadProber* prober, CallerRequest request,
            Done done);
+  ~Exchange();
 
   void Start();
   // Cancels the request without a response, because the caller disconnected.
@@ -104,26 +107,27 @@
   // Probes a server that did not respond over a new connection. If its process
   // has ended, records a crash for the content. Then calls `then`.
   void ProbeForCrash(const ServerRecord& server, std::function<void()> then);
-  // Draws candidates, probes them, and places the request.
+  // Searches for a server, or joins the requests that wait for one.
   void SelectServer(SendKind send_kind);
-  // Probes servers farther away, in addition to the candidates probed so far.
-  // @return whether probes were started
-  bool ProbeFartherServers(const std::optional<Choice>& choice,
-                           const PlacementState& state,
-                           const ExpectedWork& work);
-  // @return the eligible servers within `scope` that were not probed yet
-  std::vector<Candidate> UnprobedServers(SearchScope scope) const;
-  // Probes the candidates from index `first` on.
-  void ProbeCandidates(std::size_t first, Duration probe_timeout);
-  void OnProbeTimeout();
-  void PlaceAfter(Duration delay);
+  void SelectServerAfter(Duration delay);
+  void StartSearch(SendKind send_kind, ServerSearch::Done done);
   std::vector<Candidate> Eligible() const;
-  void OnReply(std::size_t round, std::size_t index, const LoadReply& reply);
-  // Sends, defers or refuses the request according to the replies so far.
-  void Place(SendKind send_kind);
+  PlacementState State() const;
+  // Sends, defers or refuses the request according to its own search.
+  // @return whether it was sent
+  bool Place(const FoundServers& found);
+  // Sends the request to a server that another request found, or that just
+  // reported its load, if that is better than to wait on.
+  // @return whether it was sent
+  bool PlaceOnOffered(std::vector<Candidate> offered);
+  // Joins the requests of the service that wait for a server.
+  void Wait();
+  void RefuseAfterWait();
+  // @return when the caller may send the request again
+  Duration RetryAfterWaiting();
   void LogNotPlaced(std::string_view reason,
                     const std::optional<Choice>& choice);
-  void PlaceHedge(const std::optional<Choice>& choice);
+  void PlaceHedge(const std::vector<Candidate>& candidates);
   void Send(const Candidate& candidate, Duration expected);
   std::string_view Body() const;
   OutgoingRequest BuildServerRequest(const ServerRecord& server) const;
@@ -164,8 +168,9 @@
                       std::optional<Duration> retry_after);
   void Finish(CallerResponse response, std::string_view outcome,
               std::string_view reason);
-  void CancelAttempts();
+  void StopTimersAndAttempts();
 
+  ServiceQueue& queue() const { return context_->QueueFor(service_); }
   Duration Elapsed() const { return SteadyClock::now() - request_.read_at; }
   Duration TimeLeft() const { return deadline_ - SteadyClock::now(); }
 
@@ -181,20 +186,18 @@
   bool isolated_ = false;  // May only be sent to an idle server.
   TimePoint deadline_;
   boost::asio::steady_timer deadline_timer_;
-  // For the current step: probe timeout, next placement attempt, or hedge.
+  // For the current step: crash probe, next admission, or hedge.
   boost::asio::steady_timer step_timer_;
-
-  std::size_t round_ = 0;  // Replies to probes of an earlier round are ignored.
-  std::vector<Candidate> candidates_;
-  std::size_t replies_missing_ = 0;
-  SendKind send_kind_ = SendKind::kPrimary;
-  SearchScope search_scope_ = SearchScope::kNearest;
+  std::size_t step_ =
+      0;  // Replies to crash probes of earlier ones are ignored.
+  std::shared_ptr<ServerSearch> search_;
+  std::uint64_t queue_id_ = 0;  // 0: it has not waited.
 
   std::vector<AttemptPtr> attempts_;  // In progress.
   std::set<BackendServerName> tried_;
   int sends_ = 0;
   int connect_failures_ = 0;  // Sends that failed before a byte was sent.
-  int deferrals_ = 0;         // Probe rounds after which it was not sent.
+  int deferrals_ = 0;         // Searches after which it was not sent.
   bool may_have_run_ = false;
   // Whether the server that shed it last had a free slot.
   std::optional<bool> shed_with_room_;
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "heatherlatch/traffic/service_queue.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -18,6 +20,10 @@
 // a host cannot determine.
 constexpr double kRetryReserve = 1;
 
+// The part of the bound on the probes of a server that hosts use. The rest
+// allows for hosts that do not agree on their shares.
+constexpr double kProbeShareFactor = 0.85;
+
 // Bounds on the crash suspects. A server may crash for another reason while it
 // executes several requests, so a content is refused only after a third crash;
 // three is also the specified bound. Callers send such a request again within
@@ -52,6 +58,8 @@
       rng(seed),
       first_configuration_(*io_context, settings.first_wait) {}
 
+TrafficContext::~TrafficContext() = default;
+
 void TrafficContext::AwaitFirstConfiguration(std::function<void()> resume) {
   first_configuration_.async_wait(
       [resume = std::move(resume)](const boost::system::error_code&) {
@@ -112,6 +120,46 @@
       .first->second;
 }
 
+ProbeBudget& TrafficContext::ProbeBudgetFor(const ServiceName& service) {
+  return probes_
+      .try_emplace(service, settings.probes_per_second * kProbeShareFactor,
+                   SteadyClock::now())
+      .first->second;
+}
+
+ServiceQueue& TrafficContext::QueueFor(const ServiceName& service) {
+  std::unique_ptr<ServiceQueue>& queue = queues_[service];
+  if (!queue) queue = std::make_unique<ServiceQueue>(this, service);
+  return *queue;
+}
+
+std::size_t TrafficContext::WaitingRequests() const {
+  std::size_t count = 0;
+  for (const auto& [service, queue] : queues_) count += queue->size();
+  return count;
+}
+
+std::optional<Candidate> TrafficContext::CandidateFor(
+    const BackendServerName& server, TimePoint now) const {
+  const ServerEntry* entry = directory.FindUsable(server, now);
+  return entry == nullptr ? std::nullopt : CandidateFor(*entry, now);
+}
+
+std::optional<Candidate> TrafficContext::CandidateFor(const ServerEntry& entry,
+                                                      TimePoint now) const {
+  Candidate candidate;
+  candidate.server = entry.record;
+  const BackendServerName& name = entry.record.name;
+  candidate.distance = DistanceTo(entry.record.zone);
+  candidate.cold = now < entry.cold_until || observations.IsCold(name, now);
+  if (candidate.cold && !observations.MaySendDuringColdStart(name, now)) {
+    return std::nullopt;
+  }
+  candidate.failed_recently = observations.FailedRecently(name, now);
+  candidate.connected = connections.HasIdle(entry.record.endpoint, now);
+  return candidate;
+}
+
 RegionName TrafficContext::RegionOf(const ZoneName& zone) const {
   const auto found = settings.zones.find(zone);
   return found == settings.zones.end() ? RegionName() : found->second;
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string_view>
 
@@ -22,6 +23,8 @@
 #include "heatherlatch/routing/route_table.h"
 #include "heatherlatch/routing/table_confirmation.h"
 #include "heatherlatch/settings/traffic_host_settings.h"
+#include "heatherlatch/steering/probe_budget.h"
+#include "heatherlatch/steering/steering.h"
 #include "heatherlatch/traffic/decision_log.h"
 #include "heatherlatch/traffic/route_statistics.h"
 #include "heatherlatch/traffic/server_connection_pool.h"
@@ -29,10 +32,13 @@
 
 namespace heatherlatch {
 
+class ServiceQueue;
+
 class TrafficContext {
  public:
   TrafficContext(boost::asio::io_context* io, TrafficHostSettings settings,
                  int log_descriptor, std::uint64_t seed);
+  ~TrafficContext();
 
   // Calls `resume` once a configuration has been received, or `first_wait` of
   // the settings has passed since the start.
@@ -60,6 +66,19 @@
 
   // @return this host's share of the retry budget of a service
   RetryBudget& RetryBudgetFor(const ServiceName& service);
+  // @return this host's share of the probes of a service
+  ProbeBudget& ProbeBudgetFor(const ServiceName& service);
+  // @return the requests of a service that wait at this host
+  ServiceQueue& QueueFor(const ServiceName& service);
+  // @return the requests of all services that wait at this host
+  std::size_t WaitingRequests() const;
+
+  // @return a usable server as a candidate without a reading; nothing if it may
+  //     not receive a request now
+  std::optional<Candidate> CandidateFor(const BackendServerName& server,
+                                        TimePoint now) const;
+  std::optional<Candidate> CandidateFor(const ServerEntry& entry,
+                                        TimePoint now) const;
 
   Distance DistanceTo(const ZoneName& zone) const;
   // @return whether the zone is in a home region of the route, so that it may
@@ -91,6 +110,8 @@
   void MeasureTurn(TimePoint began);
 
   std::map<ServiceName, RetryBudget> retries_;
+  std::map<ServiceName, ProbeBudget> probes_;
+  std::map<ServiceName, std::unique_ptr<ServiceQueue>> queues_;
   // Expires when requests are no longer held for the first configuration.
   boost::asio::steady_timer first_configuration_;
   bool measures_turn_ = false;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -116,6 +116,8 @@
                             static_cast<double>(held.max_held()));
   context_.metrics.SetGauge("held_bytes_limit",
                             static_cast<double>(held.capacity()));
+  context_.metrics.SetGauge("waiting_requests",
+                            static_cast<double>(context_.WaitingRequests()));
   return context_.metrics.Text();
 }
 
