--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -245,7 +245,7 @@
   } else if (queue().empty()) {
     StartSearch(send_kind, [this](const FoundServers& found) { Place(found); });
   } else {
-    Wait();
+    Wait(std::nullopt);
   }
 }
 
@@ -286,8 +286,7 @@
     return true;
   }
   if (std::holds_alternative<ProbeAgain>(decision)) {
-    if (++deferrals_ == 1) LogNotPlaced("waits", choice);
-    Wait();
+    Wait(choice);
     return false;
   }
   const auto& refusal = std::get<Refuse>(decision);
@@ -320,7 +319,8 @@
   return true;
 }
 
-void Exchange::Wait() {
+void Exchange::Wait(const std::optional<Choice>& choice) {
+  if (++deferrals_ == 1) LogNotPlaced("waits", choice);
   if (queue_id_ == 0) queue_id_ = queue().NextId();
   const TimePoint now = SteadyClock::now();
   const WaitBounds bounds = BoundWait(State());
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -121,7 +121,8 @@
   // @return whether it was sent
   bool PlaceOnOffered(std::vector<Candidate> offered);
   // Joins the requests of the service that wait for a server.
-  void Wait();
+  // @param choice  the best server of its own search, if it made one
+  void Wait(const std::optional<Choice>& choice);
   void RefuseAfterWait();
   // @return when the caller may send the request again
   Duration RetryAfterWaiting();
--- a/heatherlatch/traffic/service_queue.cc
+++ b/heatherlatch/traffic/service_queue.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/service_queue.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "heatherlatch/traffic/traffic_context.h"
@@ -106,10 +107,11 @@
     next = order.begin();
   }
   searcher_ = *next;
-  waiters_.at(searcher_).search(
-      [this, id = searcher_](const FoundServers& found) {
-        OnFound(id, found);
-      });
+  // A copy: the request may leave the queue while it searches.
+  const Waiter waiter = waiters_.at(searcher_);
+  waiter.search([this, id = searcher_](const FoundServers& found) {
+    OnFound(id, found);
+  });
 }
 
 void ServiceQueue::OnFound(std::uint64_t searcher, const FoundServers& found) {
@@ -119,7 +121,8 @@
   Offer(found, searcher);
   if (waiting_.size() < waiting) {
     searched_.clear();
-    Search();
+    // Not from here, since a search may end before it returns.
+    boost::asio::post(*context_->io, [this] { Search(); });
   } else if (waiting_.Contains(searcher)) {
     searched_.insert(searcher);
   }
