Send without a probe only to servers that are known to be warm

A server may enter a cold start at any time, and only its response to a probe tells so. Offers of freed slots and older readings now need such a response of the last 250 ms.

--- a/heatherlatch/fleet/server_directory_test.cc
+++ b/heatherlatch/fleet/server_directory_test.cc
@@ -122,5 +122,30 @@
   CHECK_FALSE(observations.IsCold(kServer, kStart));
 }
 
+TEST_CASE("a server is known to be warm only while its own word is recent") {
+  ServerObservations observations;
+  CHECK_FALSE(observations.IsKnownToBeWarm(kServer, kStart));
+  // A response to a request tells the load, and nothing of a cold start.
+  observations.OnReading(kServer, LoadReading{0, 0, 3, 1}, kStart);
+  CHECK_FALSE(observations.IsKnownToBeWarm(kServer, kStart));
+  observations.OnColdRemaining(kServer, Duration::zero(), kStart);
+  CHECK(observations.IsKnownToBeWarm(kServer, kStart + kWarmStateMaxAge));
+  CHECK_FALSE(observations.IsKnownToBeWarm(
+      kServer, kStart + kWarmStateMaxAge + milliseconds(1)));
+  observations.OnColdRemaining(kServer, milliseconds(100), kStart);
+  CHECK_FALSE(observations.IsKnownToBeWarm(kServer, kStart));
+}
+
+TEST_CASE("the load after a response does not count its request") {
+  const LoadReading full{3, 0, 3, 1};
+  CHECK_FALSE(HasFreeSlot(full));
+  CHECK(HasFreeSlot(WithoutOneRequest(full)));
+  // A request that waited takes the slot.
+  const LoadReading queued = WithoutOneRequest({3, 2, 3, 1});
+  CHECK(queued.running == 3);
+  CHECK(queued.waiting == 1);
+  CHECK(WithoutOneRequest({0, 0, 3, 1}).running == 0);
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/fleet/server_observations.cc
+++ b/heatherlatch/fleet/server_observations.cc
@@ -14,7 +14,9 @@
 
 void ServerObservations::OnColdRemaining(const BackendServerName& server,
                                          Duration remaining, TimePoint now) {
-  Touch(server, now).cold_until = now + remaining;
+  Observation& observation = Touch(server, now);
+  observation.cold_until = now + remaining;
+  observation.cold_state_read_at = now;
 }
 
 void ServerObservations::OnSent(const BackendServerName& server, bool cold,
@@ -58,6 +60,14 @@
   return observation != nullptr && now < observation->cold_until;
 }
 
+bool ServerObservations::IsKnownToBeWarm(const BackendServerName& server,
+                                         TimePoint now) const {
+  const Observation* observation = Find(server);
+  return observation != nullptr && observation->cold_state_read_at &&
+         now - *observation->cold_state_read_at <= kWarmStateMaxAge &&
+         now >= observation->cold_until;
+}
+
 bool ServerObservations::MaySendDuringColdStart(const BackendServerName& server,
                                                 TimePoint now) const {
   const Observation* observation = Find(server);
--- a/heatherlatch/fleet/server_observations.h
+++ b/heatherlatch/fleet/server_observations.h
@@ -18,6 +18,10 @@
 
 namespace heatherlatch {
 
+// How long a statement of a server that it is in no cold start holds. In that
+// time all hosts together send it fewer requests than it tolerates.
+inline constexpr Duration kWarmStateMaxAge = std::chrono::milliseconds(250);
+
 // How long after a failure a server is ranked behind the others. Failures of a
 // server come in periods of seconds.
 inline constexpr Duration kRecentFailureWindow = std::chrono::seconds(1);
@@ -42,6 +46,11 @@
   int SentSinceReading(const BackendServerName& server) const;
   bool FailedRecently(const BackendServerName& server, TimePoint now) const;
   bool IsCold(const BackendServerName& server, TimePoint now) const;
+  // A server may enter a cold start at any time, and only its response to a
+  // probe tells so. A request that is sent without a probe just before needs a
+  // server of which this is known.
+  // @return whether the server stated lately that it is in no cold start
+  bool IsKnownToBeWarm(const BackendServerName& server, TimePoint now) const;
   // @return whether this host may send a request to a server in cold start
   bool MaySendDuringColdStart(const BackendServerName& server,
                               TimePoint now) const;
@@ -56,6 +65,7 @@
     std::optional<TimePoint> failed_at;
     std::optional<TimePoint> cold_send_at;
     TimePoint cold_until;
+    std::optional<TimePoint> cold_state_read_at;
     int sent_since_reading = 0;
     TimePoint last_observed_at;
   };
--- a/heatherlatch/traffic/server_search.cc
+++ b/heatherlatch/traffic/server_search.cc
@@ -100,6 +100,16 @@
       SteadyClock::now());
 }
 
+std::optional<LoadReading> ServerSearch::ReadingOfWarmServer(
+    const Candidate& candidate, Duration max_age) const {
+  const TimePoint now = SteadyClock::now();
+  const BackendServerName& name = candidate.server.name;
+  if (candidate.cold || !context_->observations.IsKnownToBeWarm(name, now)) {
+    return std::nullopt;
+  }
+  return context_->observations.Reading(name, max_age, now);
+}
+
 void ServerSearch::SortByPromise(std::vector<Candidate>::iterator begin,
                                  std::vector<Candidate>::iterator end) const {
   const ExpectedWork work = subject_.work();
@@ -126,17 +136,13 @@
 }
 
 std::optional<LoadReading> ServerSearch::AddLastKnownServer() {
-  const TimePoint now = SteadyClock::now();
   SortByPromise(left_out_.begin(), left_out_.end());
   for (auto it = left_out_.begin(); it != left_out_.end(); ++it) {
     const BackendServerName& name = it->server.name;
-    const auto reading = context_->observations.Reading(name, kMeanMaxAge, now);
+    const auto reading = ReadingOfWarmServer(*it, kMeanMaxAge);
     it->reading = reading;
     it->sent_since_reading = context_->observations.SentSinceReading(name);
-    if (!reading || it->cold ||
-        OccupancyAfterSend(*it) != Occupancy::kAvailable) {
-      continue;
-    }
+    if (!reading || OccupancyAfterSend(*it) != Occupancy::kAvailable) continue;
     it->probe_pending = true;
     candidates_.push_back(std::move(*it));
     left_out_.erase(it);
@@ -182,8 +188,7 @@
     std::optional<LoadReading> reading;
     if (!is_probed) {
       reading = i < known_count ? KnownReading(drawn[i])
-                                : context_->observations.Reading(
-                                      drawn[i].server.name, max_age, now);
+                                : ReadingOfWarmServer(drawn[i], max_age);
       if (!reading) {
         left_out_.push_back(std::move(drawn[i]));
         continue;
--- a/heatherlatch/traffic/server_search.h
+++ b/heatherlatch/traffic/server_search.h
@@ -71,6 +71,9 @@
   std::optional<double> MeanOutstanding(
       const std::vector<Candidate>& servers) const;
   std::optional<LoadReading> KnownReading(const Candidate& candidate) const;
+  // @return the last reading of a server that may be used without a probe
+  std::optional<LoadReading> ReadingOfWarmServer(const Candidate& candidate,
+                                                 Duration max_age) const;
   // Puts the candidates first that are likely to be free and at their usual
   // speed, so that few probes suffice.
   void SortByPromise(std::vector<Candidate>::iterator begin,
--- a/heatherlatch/traffic/service_queue.cc
+++ b/heatherlatch/traffic/service_queue.cc
@@ -42,7 +42,8 @@
   candidate->reading =
       context_->observations.Reading(server, kOfferedReadingMaxAge, now);
   if (!candidate->reading || !HasFreeSlot(*candidate->reading) ||
-      candidate->failed_recently) {
+      candidate->failed_recently || candidate->cold ||
+      !context_->observations.IsKnownToBeWarm(server, now)) {
     return;
   }
   Offer({{*candidate}, false}, 0);
