--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -58,9 +58,7 @@
 std::string NotRunCause(const std::string& reason, const Json& ended) {
   const std::string waited = NumberField(ended, "total_ms") + " ms";
   static const std::map<std::string, std::string> causes = {
-      {"queue-full",
-       "no server that it may use had room in time, or its turn among the "
-       "requests that wait would have come too late"},
+      {"queue-full", "no server that it may use had room in time"},
       {"no-server", "the host had no server that it may use"},
       {"deadline-too-short", "no server could answer in the time left"},
       {"connect-failed", "the servers that it chose could not be connected to"},
