--- a/review/lab/main.cc
+++ b/review/lab/main.cc
@@ -17,6 +17,7 @@
 int Run(const std::string& name, const std::string& record_path) {
   const std::map<std::string, Scenario> scenarios = {
       {"pipeline-requests", review::PipelineRequests},
+      {"pipeline-behind-post", review::PipelineBehindPost},
       {"refuse-head", review::RefuseHead},
       {"stop-while-waiting", review::StopWhileWaiting},
       {"leave-during-cut", review::LeaveDuringCut},
--- a/review/lab/scenarios.cc
+++ b/review/lab/scenarios.cc
@@ -139,6 +139,57 @@
   return !own;
 }
 
+std::optional<bool> PipelineBehindPost(bool trouble, Record* record) {
+  constexpr int kPipelined = 9;
+  constexpr std::size_t kLongHeaderBytes = 12000;
+  Store& store = *Forever<Store>();
+  Workers workers;
+  for (const char* id : {"i-1", "i-2", "i-3", "i-4"}) {
+    workers.push_back(Forever<Worker>(
+        WorkerOptions{id, "north-a", 3, milliseconds(100)}, record));
+  }
+  PublishWorkers(&store, workers);
+  Publish(&store, 1, {{"read", "safe"}, {"post", "unsafe"}});
+  Host host("host-1", "north-a", &store);
+  if (!StartAll({&host}, {host.peer_endpoint()})) return std::nullopt;
+  const auto consumer = Connection::Open(host.caller_port());
+  if (!consumer) return std::nullopt;
+  consumer->SetReadTimeout(seconds(6));
+  std::string first = ToRequest({"GET", "read", "long-header"});
+  first.insert(first.size() - 2,
+               "X-Note: " + std::string(kLongHeaderBytes, 'n') + "\r\n");
+  (void)consumer->Send(first);
+  if (!consumer->Read()) return std::nullopt;
+  std::vector<std::string> requests = {ToRequest({"POST", "post", "post-1"})};
+  for (int i = 0; i < kPipelined; ++i) {
+    requests.push_back(ToRequest({"GET", "read", "get-" + std::to_string(i)}));
+  }
+  std::string at_once;
+  for (const std::string& request : requests) {
+    at_once += request;
+    if (trouble) continue;
+    (void)consumer->Send(request);
+    if (!consumer->Read()) return std::nullopt;
+  }
+  if (trouble) (void)consumer->Send(at_once);
+  for (std::size_t i = 0; trouble && i < requests.size(); ++i) {
+    if (!consumer->Read()) return std::nullopt;
+  }
+  record->Write("post-1 and the safe requests behind it are answered");
+  (void)consumer->Send(ToRequest({"GET", "read", "a-further-request"}));
+  const auto answer = consumer->Read();
+  record->Write("a-further-request is answered with the id " +
+                (answer ? answer->Field(wire::kRequestIdField) : "(none)"));
+  int runs = 0;
+  for (const Worker* worker : workers) {
+    for (const Worker::Arrival& arrival : worker->Arrivals()) {
+      if (arrival.request_id == "post-1" && arrival.ran) ++runs;
+    }
+  }
+  record->Write("post-1 ran " + std::to_string(runs) + " times");
+  return runs > 1;
+}
+
 std::optional<bool> RefuseHead(bool trouble, Record* record) {
   Store& store = *Forever<Store>();
   Workers workers;
--- a/review/lab/scenarios.h
+++ b/review/lab/scenarios.h
@@ -12,6 +12,9 @@
 // MIXED: a consumer sends further safe requests before the first is answered,
 // and then an unsafe one on the same connection.
 std::optional<bool> PipelineRequests(bool trouble, Record* record);
+// TWICE: the same, with an unsafe request in front of the safe ones, and before
+// it one with a header of 12,000 bytes.
+std::optional<bool> PipelineBehindPost(bool trouble, Record* record);
 // MIXED: a route is removed, and its HEAD requests are refused.
 std::optional<bool> RefuseHead(bool trouble, Record* record);
 // LOST: a host is stopped while requests wait for a worker.
