Keep no read pending into the buffer of a caller's connection

Cause: CallerConnection kept an async_read_some pending into its flat_buffer while requests were in progress. OnWritten takes the requests beyond the eighth from the same buffer. Consuming its last byte moves the write position to the beginning, so that the commit of the pending read made old bytes valid again and left the new ones out.

Change: the connection waits until its socket is readable and then reads without blocking, so that no operation holds a position in the buffer between two turns of the loop.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -76,6 +76,12 @@
 
 void CallerConnection::Start() {
   SetLivenessOptions(&socket_);
+  error_code error;
+  socket_.non_blocking(true, error);
+  if (error) {
+    Close();
+    return;
+  }
   BeginRequest();
   ReadSome();
 }
@@ -110,18 +116,25 @@
 }
 
 void CallerConnection::ReadSome() {
-  if (reading_ || !open_) return;
-  reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](const error_code& error, std::size_t size) {
-        self->reading_ = false;
-        self->OnRead(error, size);
-      });
-}
-
-void CallerConnection::OnRead(const error_code& error, std::size_t size) {
+  if (waits_for_bytes_ || !open_) return;
+  waits_for_bytes_ = true;
+  // A pending read would hold a position in the buffer, from which
+  // `ParseRequests` takes requests meanwhile.
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const error_code& error) {
+                       self->waits_for_bytes_ = false;
+                       self->OnReadable(error);
+                     });
+}
+
+void CallerConnection::OnReadable(error_code error) {
   if (!open_) return;
+  std::size_t size = 0;
+  if (!error) size = socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error == asio::error::would_block || error == asio::error::interrupted) {
+    ReadSome();
+    return;
+  }
   if (error) {
     OnCallerDisconnected();
     return;
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -92,8 +92,10 @@
   CallerLimits Limits() const;
   void BeginRequest();
   void ApplyLimitsInForce();
+  // Waits for bytes, and then reads them.
   void ReadSome();
-  void OnRead(const boost::system::error_code& error, std::size_t size);
+  // @param error  of the wait
+  void OnReadable(boost::system::error_code error);
   bool MayRead() const;
   void ParseRequests();
   // Skips empty lines before a request line.
@@ -145,7 +147,7 @@
   std::string outgoing_body_;      // Follows `outgoing_`.
   ByteReservation outgoing_held_;  // For the bodies being written.
   bool open_ = true;
-  bool reading_ = false;
+  bool waits_for_bytes_ = false;
   bool writing_ = false;
   // False after a request that ends the connection, or once draining.
   bool accepts_requests_ = true;
