Keep a removed server in use only if its entry can have expired

Cause: a removed server stays in use for 2.2 s if the store was unavailable. A host believed every other host that said so, also one that was merely cut off from the store, and each such response began the 2.2 s anew, at every host on the way, counted from when the removal was learnt.

The members store_reconnected_at_ and relisting_until_ were the only places where a removal turned into "server-missing".

Change: RelistingWindow. The line server-missing says for how long.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -108,13 +108,6 @@
   QueryNextSource();
 }
 
-bool PublishedFeed::StoreWasUnavailable(TimePoint now) const {
-  return store_unavailable_ ||
-         (store_reconnected_at_ &&
-          now - *store_reconnected_at_ < kRelistingGrace) ||
-         (relisting_until_ && now < *relisting_until_);
-}
-
 Duration PublishedFeed::Age(TimePoint now) const {
   const auto& confirmed_at = context_->table_confirmation.confirmed_at;
   if (stale_ || !confirmed_at) return kStaleAge;
@@ -266,6 +259,7 @@
   const TimePoint made_at = ResponseBeganAt();
   hops_ = 0;
   if (has_complete_list_) {
+    relisting_.OnConfirmed(made_at);
     Merge(ToFeedPage(page, false), hops_);
     FinishSuccessfulQuery(
         made_at, page.items.empty() ? Duration::zero() : kChangeBatchDelay);
@@ -288,6 +282,7 @@
   has_complete_list_ = true;
   const FeedPage complete_list = std::move(partial_list_);
   RestartList();
+  relisting_.OnConfirmed(list_began_at_);
   Merge(complete_list, hops_);
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
@@ -319,12 +314,14 @@
   if (response.unreadable_items > 0) {
     context_->metrics.Count("peer_items", "unreadable");
   }
-  const TimePoint now = SteadyClock::now();
   MergeSuspects(response.suspects);
-  if (response.store_was_unavailable) relisting_until_ = now + kRelistingGrace;
+  const TimePoint confirmed_at = ResponseBeganAt() - response.age;
+  const bool is_up_to_date = IsUpToDate(response);
+  if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
+  if (is_up_to_date) relisting_.OnConfirmed(confirmed_at);
   const bool has_changes = !response.page.items.empty();
   Merge(response.page, response.hops + 1);
-  if (!IsUpToDate(response)) {
+  if (!is_up_to_date) {
     followed_peer_.reset();
     OnPeerStale();
     return {};
@@ -335,7 +332,7 @@
   RestartList();
   followed_peer_ = std::get<PeerSource>(source_).endpoint;
   hops_ = response.hops + 1;
-  FinishSuccessfulQuery(ResponseBeganAt() - response.age,
+  FinishSuccessfulQuery(confirmed_at,
                         has_changes ? kChangeBatchDelay / 4 : Duration::zero());
   return {};
 }
@@ -350,7 +347,7 @@
     confirmation.origin = {source_, hops_};
   }
   failures_ = 0;
-  if (stale_) MarkUpToDate(now);
+  if (stale_) MarkUpToDate();
   if (next > Duration::zero()) {
     QueryAfter(next);
   } else {
@@ -382,7 +379,9 @@
 
 void PublishedFeed::MarkStale(const std::string& source,
                               const std::string& problem) {
-  if (std::holds_alternative<StoreSource>(source_)) store_unavailable_ = true;
+  if (std::holds_alternative<StoreSource>(source_)) {
+    relisting_.OnStoreUnavailable();
+  }
   if (stale_) return;
   stale_ = true;
   context_->log.Write("store-lost",
@@ -392,12 +391,8 @@
   RespondToPending(true);
 }
 
-void PublishedFeed::MarkUpToDate(TimePoint now) {
+void PublishedFeed::MarkUpToDate() {
   stale_ = false;
-  // Responses of other hosts state an outage of the store explicitly.
-  const bool from_store = std::holds_alternative<StoreSource>(source_);
-  if (store_unavailable_ && from_store) store_reconnected_at_ = now;
-  store_unavailable_ = false;
   context_->log.Write("store-regained",
                       {{"source", ToString(source_)},
                        {"revision", static_cast<double>(items_.revision())}});
@@ -417,7 +412,7 @@
   response.page = items_.ChangesSince(after_revision);
   response.age = std::chrono::duration_cast<milliseconds>(Age(now));
   response.hops = hops_;
-  response.store_was_unavailable = StoreWasUnavailable(now);
+  response.store_was_unavailable = relisting_.StoreWasUnavailable(now);
   response.suspects = suspects_.Recent(now);
   return response;
 }
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -27,6 +27,7 @@
 
 #include "heatherlatch/relay/peer_messages.h"
 #include "heatherlatch/relay/published_items.h"
+#include "heatherlatch/relay/relisting_window.h"
 #include "heatherlatch/relay/shared_suspects.h"
 #include "heatherlatch/relay/source_choice.h"
 #include "heatherlatch/traffic/client_connection.h"
@@ -36,10 +37,6 @@
 
 namespace heatherlatch {
 
-// How long servers may take to be listed again after an outage of the store;
-// the platform specifies about two seconds.
-inline constexpr Duration kRelistingGrace = std::chrono::milliseconds(2200);
-
 class PublishedFeed {
  public:
   // Receives the items that changed, in the order of their changes, and where
@@ -69,9 +66,11 @@
   // Reports a content that crashed a server to other hosts.
   void ShareSuspect(const SuspectNotice& notice);
 
-  // @return whether the store is unavailable, or became available so recently
-  //     that its servers may not all be listed again
-  bool StoreWasUnavailable(TimePoint now) const;
+  // @return until when a server whose entry is removed now may be listed again;
+  //     nothing: the server has left
+  std::optional<TimePoint> RelistingEnd(TimePoint now) const {
+    return relisting_.End(now);
+  }
 
  private:
   // A query of another host that waits for a change.
@@ -107,7 +106,7 @@
   // @param timed_out  whether the source did not respond in time
   void FinishFailedQuery(const std::string& problem, bool timed_out);
   void MarkStale(const std::string& source, const std::string& problem);
-  void MarkUpToDate(TimePoint now);
+  void MarkUpToDate();
   // @param confirmed_at  when the store last confirmed the items
   // @param next          delay until the next query
   void FinishSuccessfulQuery(TimePoint confirmed_at, Duration next);
@@ -155,11 +154,8 @@
   // Set by a timeout or a repeated failure if the last query to the store
   // failed too; cleared by the next success.
   bool stale_ = false;
-  bool store_unavailable_ = false;  // The store itself failed while stale.
-  int hops_ = 0;                    // Hosts between this one and the store.
-  std::optional<TimePoint> store_reconnected_at_;
-  // Until when servers may be missing, as reported by other hosts.
-  std::optional<TimePoint> relisting_until_;
+  int hops_ = 0;  // Hosts between this one and the store.
+  RelistingWindow relisting_;
   bool stopped_ = false;
 };
 
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -242,16 +242,17 @@
                               const PublishedItem& item, TimePoint now) {
   const double revision = static_cast<double>(item.revision);
   if (item.is_deleted) {
-    // A server whose entry expired during an outage of the store may be listed
-    // again.
-    const bool may_return = feed_.StoreWasUnavailable(now);
-    if (may_return) {
-      context_.directory.MarkMissing(BackendServerName(name),
-                                     now + kRelistingGrace);
-    } else {
-      context_.directory.Remove(BackendServerName(name));
+    const std::optional<TimePoint> until = feed_.RelistingEnd(now);
+    if (until) {
+      context_.directory.MarkMissing(BackendServerName(name), *until);
+      context_.log.Write("server-missing",
+                         {{"server", name},
+                          {"revision", revision},
+                          {"for_ms", ToMilliseconds(*until - now)}});
+      return;
     }
-    context_.log.Write(may_return ? "server-missing" : "server-gone",
+    context_.directory.Remove(BackendServerName(name));
+    context_.log.Write("server-gone",
                        {{"server", name}, {"revision", revision}});
     return;
   }
