Answer the requests that a stopping host holds

Cause: ContinueStop stopped the event loop before stop_wait was over and ended no request in progress; nothing that places requests knew of the end.

Change: the end of the host bounds the time for a server as the deadline of a request does, also for those that wait already; what is left 0.6 s before stop_wait is over gets 503, or 502 if a server may have run it, and the host ends once the responses are written.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -478,6 +478,21 @@
   if (!IsBusy() && !send_closed_) Close();
 }
 
+void CallerConnection::OnHostStopping() {
+  const auto in_progress = pending_;  // A request may end meanwhile.
+  for (const std::shared_ptr<PendingResponse>& pending : in_progress) {
+    if (pending->exchange) pending->exchange->OnHostStopping();
+  }
+}
+
+void CallerConnection::EndRequests() {
+  const auto in_progress = pending_;
+  for (const std::shared_ptr<PendingResponse>& pending : in_progress) {
+    const std::shared_ptr<Exchange> exchange = pending->exchange;
+    if (exchange) exchange->EndWithHost();
+  }
+}
+
 void CallerConnection::OnCallerDisconnected() {
   for (const std::shared_ptr<PendingResponse>& pending : pending_) {
     if (pending->exchange) pending->exchange->Abandon();
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -55,6 +55,12 @@
   // discarded.
   void Drain();
 
+  // Notes that the host began to stop.
+  void OnHostStopping();
+  // Ends the requests in progress, because the host ends, and writes their
+  // responses.
+  void EndRequests();
+
   bool IsOpen() const { return open_; }
   bool IsBusy() const { return !pending_.empty() || writing_; }
 
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -232,10 +232,20 @@
 }
 
 PlacementState Exchange::State() const {
-  return {Elapsed(), route_->latency_target, TimeLeft(),
+  return {Elapsed(), route_->latency_target, TimeForServer(),
           context_->statistics.Expect(*route_).service_time};
 }
 
+Duration Exchange::TimeForServer() const {
+  const auto& end = context_->requests_end_at;
+  return end ? std::min(TimeLeft(), *end - SteadyClock::now()) : TimeLeft();
+}
+
+NotRunReason Exchange::WhyNotPlaced(NotRunReason reason) const {
+  const auto& end = context_->requests_end_at;
+  return end && *end < deadline_ ? NotRunReason::kHostStopping : reason;
+}
+
 void Exchange::SelectServer(SendKind send_kind) {
   if (!Admit()) return;
   if (send_kind == SendKind::kHedge) {
@@ -291,11 +301,12 @@
   }
   const auto& refusal = std::get<Refuse>(decision);
   queue().Leave(queue_id_);
-  if (!may_have_run_) LogNotPlaced(ToString(refusal.reason), choice);
-  if (refusal.reason == NotRunReason::kNoServer && shed_with_room_) {
+  const NotRunReason reason = WhyNotPlaced(refusal.reason);
+  if (!may_have_run_) LogNotPlaced(ToString(reason), choice);
+  if (reason == NotRunReason::kNoServer && shed_with_room_) {
     RefuseOrFail(NotRunReason::kShedByServer, RetryAfterShed(*shed_with_room_));
   } else {
-    RefuseOrFail(refusal.reason, RetryAfterWaiting());
+    RefuseOrFail(reason, RetryAfterWaiting());
   }
   return false;
 }
@@ -322,13 +333,22 @@
 void Exchange::Wait(const std::optional<Choice>& choice) {
   if (++deferrals_ == 1) LogNotPlaced("waits", choice);
   if (queue_id_ == 0) queue_id_ = queue().NextId();
+  JoinQueue();
+}
+
+void Exchange::JoinQueue() {
   const TimePoint now = SteadyClock::now();
-  const WaitBounds bounds = BoundWait(State());
+  const PlacementState state = State();
+  const WaitBounds bounds = BoundWait(state);
   WaitingRequest waiting;
   waiting.id = queue_id_;
   waiting.priority = route_->priority;
   waiting.send_by = now + bounds.until_late;
   waiting.give_up_at = now + bounds.until_given_up;
+  if (context_->requests_end_at) {
+    waiting.give_up_at = std::min(
+        waiting.give_up_at, *context_->requests_end_at - state.service_time);
+  }
   waiting.bytes = Body().size();
   const auto self = shared_from_this();
   queue().Join(waiting,
@@ -343,10 +363,9 @@
 }
 
 void Exchange::RefuseAfterWait() {
-  if (!may_have_run_) {
-    LogNotPlaced(ToString(NotRunReason::kQueueFull), std::nullopt);
-  }
-  RefuseOrFail(NotRunReason::kQueueFull, RetryAfterWaiting());
+  const NotRunReason reason = WhyNotPlaced(NotRunReason::kQueueFull);
+  if (!may_have_run_) LogNotPlaced(ToString(reason), std::nullopt);
+  RefuseOrFail(reason, RetryAfterWaiting());
 }
 
 Duration Exchange::RetryAfterWaiting() {
@@ -751,6 +770,19 @@
                        {"waited_ms", ToMilliseconds(Elapsed())}});
 }
 
+void Exchange::OnHostStopping() {
+  if (!finished_ && queue_id_ != 0 && queue().Contains(queue_id_)) JoinQueue();
+}
+
+void Exchange::EndWithHost() {
+  if (finished_) return;
+  if (attempts_.empty()) {
+    RefuseOrFail(NotRunReason::kHostStopping, kRetryAfter);
+  } else {
+    FailAsUnknown(kBadGateway, UnknownReason::kStillRunning);
+  }
+}
+
 void Exchange::StopTimersAndAttempts() {
   deadline_timer_.cancel();
   step_timer_.cancel();
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -75,6 +75,12 @@
   // Connections with an attempt in progress are closed, so that the servers can
   // stop executing it.
   void Abandon();
+  // Notes that the host began to stop. If the request waits for a server, it is
+  // refused as soon as no server could complete it before the host ends.
+  void OnHostStopping();
+  // Ends the request, because the host ends: as not run if no server can have
+  // run it.
+  void EndWithHost();
 
  private:
   struct Attempt {
@@ -123,6 +129,8 @@
   // Joins the requests of the service that wait for a server.
   // @param choice  the best server of its own search, if it made one
   void Wait(const std::optional<Choice>& choice);
+  // Adds the request to those that wait, or updates the bounds of its wait.
+  void JoinQueue();
   void RefuseAfterWait();
   // @return when the caller may send the request again
   Duration RetryAfterWaiting();
@@ -174,6 +182,12 @@
   ServiceQueue& queue() const { return context_->QueueFor(service_); }
   Duration Elapsed() const { return SteadyClock::now() - request_.read_at; }
   Duration TimeLeft() const { return deadline_ - SteadyClock::now(); }
+  // @return the time within which a server has to complete the request: until
+  //     its deadline, or until the host ends if that is sooner
+  Duration TimeForServer() const;
+  // @return `reason`, or `kHostStopping` if the request is refused because the
+  //     host ends before the request's deadline
+  NotRunReason WhyNotPlaced(NotRunReason reason) const;
 
   TrafficContext* context_;
   LoadProber* prober_;
--- a/heatherlatch/traffic/service_queue.h
+++ b/heatherlatch/traffic/service_queue.h
@@ -57,6 +57,7 @@
   void OnReading(const BackendServerName& server, TimePoint now);
 
   bool empty() const { return waiting_.empty(); }
+  bool Contains(std::uint64_t id) const { return waiting_.Contains(id); }
   std::size_t size() const { return waiting_.size(); }
   // @return when the caller of a refused request may send it again
   Duration RetryAfter(Duration time_left, TimePoint now);
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -102,6 +102,8 @@
   TrafficMetrics metrics;
   std::mt19937_64 rng;
   bool stopping = false;
+  // While the host stops: when it ends the requests that are still in progress.
+  std::optional<TimePoint> requests_end_at;
   LoopDelay loop_delay;
   TimePoint next_maintenance = TimePoint::max();
 
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -2,6 +2,7 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -27,9 +28,13 @@
 // How long after the stop signal the platform's balancer may still send callers
 // here: it checks readiness every second and acts on the second failure.
 constexpr Duration kDeregistrationDelay = std::chrono::milliseconds(2500);
-// The process ends this long before the stop time is over, even if requests are
-// in progress.
+// Requests that are still in progress end this long before the stop time is
+// over.
 constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+// How long their responses may take to be written, and how often that is
+// checked.
+constexpr Duration kMaxFinalWriteTime = std::chrono::milliseconds(300);
+constexpr Duration kFinalWriteCheckInterval = std::chrono::milliseconds(10);
 
 // How long the observations of a server are kept after the last one.
 constexpr Duration kObservationRetention = std::chrono::minutes(5);
@@ -64,6 +69,7 @@
             }),
       signals_(*io, SIGTERM, SIGINT, SIGHUP),
       maintenance_timer_(*io),
+      stop_timer_(*io),
       suspended_(TotalSuspension()) {
   context_.share_suspect = [this](const SuspectNotice& notice) {
     feed_.ShareSuspect(notice);
@@ -325,7 +331,16 @@
   if (stop_began_) return;
   stop_began_ = SteadyClock::now();
   context_.stopping = true;
-  context_.log.Write("stopping", {});
+  context_.requests_end_at =
+      *stop_began_ + context_.settings.stop_wait - kStopMargin;
+  context_.log.Write(
+      "stopping",
+      {{"waiting", static_cast<double>(context_.WaitingRequests())}});
+  for (const auto& caller : OpenCallers()) caller->OnHostStopping();
+  stop_timer_.expires_at(*context_.requests_end_at);
+  stop_timer_.async_wait([this](const error_code& error) {
+    if (!error) EndRequests();
+  });
 }
 
 void TrafficHost::ContinueStop(TimePoint now) {
@@ -334,14 +349,40 @@
   if (elapsed < kDeregistrationDelay) return;
   error_code ignored;  // It may be closed already.
   acceptor_->close(ignored);
-  bool busy = false;
+  for (const auto& caller : OpenCallers()) caller->Drain();
+  if (!IsAnyCallerBusy()) Finish();
+}
+
+std::vector<std::shared_ptr<CallerConnection>> TrafficHost::OpenCallers()
+    const {
+  std::vector<std::shared_ptr<CallerConnection>> open;
   for (const auto& weak : callers_) {
-    const std::shared_ptr<CallerConnection> caller = weak.lock();
-    if (!caller) continue;
-    caller->Drain();
-    busy = busy || caller->IsBusy();
+    std::shared_ptr<CallerConnection> caller = weak.lock();
+    if (caller && caller->IsOpen()) open.push_back(std::move(caller));
+  }
+  return open;
+}
+
+bool TrafficHost::IsAnyCallerBusy() const {
+  const auto open = OpenCallers();
+  return std::any_of(open.begin(), open.end(),
+                     [](const auto& caller) { return caller->IsBusy(); });
+}
+
+void TrafficHost::EndRequests() {
+  for (const auto& caller : OpenCallers()) caller->EndRequests();
+  FinishOnceWritten(SteadyClock::now() + kMaxFinalWriteTime);
+}
+
+void TrafficHost::FinishOnceWritten(TimePoint until) {
+  if (!IsAnyCallerBusy() || SteadyClock::now() >= until) {
+    Finish();
+    return;
   }
-  if (!busy || elapsed > context_.settings.stop_wait - kStopMargin) Finish();
+  stop_timer_.expires_after(kFinalWriteCheckInterval);
+  stop_timer_.async_wait([this, until](const error_code& error) {
+    if (!error) FinishOnceWritten(until);
+  });
 }
 
 void TrafficHost::Finish() {
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "heatherlatch/traffic/caller_connection.h"
 #include "heatherlatch/traffic/published_feed.h"
@@ -70,6 +71,14 @@
   bool IsReady() const;
   void BeginStop();
   void ContinueStop(TimePoint now);
+  // @return the open connections of callers
+  std::vector<std::shared_ptr<CallerConnection>> OpenCallers() const;
+  bool IsAnyCallerBusy() const;
+  // Ends the requests that are still in progress, and the host once their
+  // responses are written.
+  void EndRequests();
+  // @param until  when the host ends at the latest
+  void FinishOnceWritten(TimePoint until);
   void Finish();
 
   boost::asio::io_context* io_;
@@ -82,6 +91,7 @@
   std::list<SimpleHttpServer> http_servers_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer maintenance_timer_;
+  boost::asio::steady_timer stop_timer_;
   std::list<std::weak_ptr<CallerConnection>> callers_;
   std::optional<TimePoint> stop_began_;
   bool accept_failed_ = false;
