--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -26,6 +26,7 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int signal) const;
+  pid_t pid() const { return pid_; }
 
   // Waits until the process ends.
   // @return its exit code, or the negated number of the signal that ended it;
--- a/tests/harness/host_fleet.h
+++ b/tests/harness/host_fleet.h
@@ -7,8 +7,8 @@
 //   HostFleet fleet({20}, store.endpoint());
 //   Call(fleet.caller_listen(0), Request("GET", "id-1"));
 //
-// Thread safety: the endpoints may be read from any thread, the rest is to be
-// called from one thread.
+// Thread safety: the endpoints may be read from any thread. What concerns one
+// host is to be called from one thread at a time.
 #ifndef TESTS_HARNESS_HOST_FLEET_H_
 #define TESTS_HARNESS_HOST_FLEET_H_
 
@@ -41,7 +41,9 @@
   // Starts a host that has ended. Does not wait until it is ready.
   void Start(std::size_t host);
   void WaitUntilReady(std::size_t host) const;
-  ChildProcess& process(std::size_t host) { return *hosts_[host].process; }
+  ChildProcess& process(std::size_t host) const {
+    return *hosts_[host].process;
+  }
   // @return the output of a host, of all its starts
   std::string Log(std::size_t host) const;
 
