--- a/heatherlatch/admission/cold_start_permits_test.cc
+++ b/heatherlatch/admission/cold_start_permits_test.cc
@@ -87,12 +87,11 @@
       if (*rc::gen::inRange(0, 100) == 0) {
         readers[asked] = ColdStartPermits();
       }
-      if (!readers[asked].TryIssue(
-              kServer, rate / kReaders,
-              *rc::gen::element(PermitRequester::kSelf,
-                                PermitRequester::kOtherHost),
-              At(ms)))
-        continue;
+      const auto requester = *rc::gen::element(PermitRequester::kSelf,
+                                               PermitRequester::kOtherHost);
+      const bool issued =
+          readers[asked].TryIssue(kServer, rate / kReaders, requester, At(ms));
+      if (!issued) continue;
       const auto used_after = *rc::gen::inRange<std::int64_t>(
           0, std::chrono::duration_cast<milliseconds>(kColdStartPermitLifetime)
                  .count());
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -120,8 +120,9 @@
 
 Json ToJson(const std::vector<BackendServerName>& servers) {
   Json encoded = Json::array();
-  for (const BackendServerName& server : servers)
+  for (const BackendServerName& server : servers) {
     encoded.push_back(server.str());
+  }
   return encoded;
 }
 
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -16,7 +16,10 @@
 TEST_CASE("a request and a response are decoded as they were encoded") {
   const SuspectNotice suspect{~0ULL, ServiceName("tally"), 2, milliseconds(40)};
   const FeedRequest request{
-      {"10.0.0.1", 8544}, 77, milliseconds(600), {suspect},
+      {"10.0.0.1", 8544},
+      77,
+      milliseconds(600),
+      {suspect},
       {BackendServerName("i-1"), BackendServerName("i-2")}};
   const auto decoded_request = ValueOf(DecodeFeedRequest(Encode(request)));
   REQUIRE(decoded_request);
--- a/heatherlatch/traffic/cold_permit_client.cc
+++ b/heatherlatch/traffic/cold_permit_client.cc
@@ -50,7 +50,7 @@
     return;
   }
   asking_ = true;
-  const Endpoint reader = readers[next_reader_ % readers.size()];
+  const Endpoint& reader = readers[next_reader_ % readers.size()];
   FeedRequest question;
   question.requester = context_->settings.peer_listen;
   question.cold_servers.assign(wanted_.begin(), wanted_.end());
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -170,7 +170,8 @@
   if (!is_reader || entry == nullptr || !routes) return false;
   const auto service = routes->services.find(entry->record.service);
   if (service == routes->services.end()) return false;
-  const double share = 1.0 / std::max<double>(readers.size(), 1);
+  const double share =
+      1.0 / static_cast<double>(std::max<std::size_t>(readers.size(), 1));
   return cold_permits.TryIssue(
       server, share * service->second.cold_requests_per_second, requester, now);
 }
