Remember the last permit for a cold server for its whole interval

A reader forgot it after 2 s, so that a server with less than one permit in 2 s at each reader, a published rate below 1.5 a second with three readers, got none.

Evidence: "a server with a low rate gets a permit in its interval" against the code before: failed, no permit after 5 s at 0.2 a second. With the change the 27 tests of admission_test passed.

--- a/heatherlatch/admission/cold_start_permits.cc
+++ b/heatherlatch/admission/cold_start_permits.cc
@@ -15,12 +15,13 @@
                                 double per_second, PermitRequester requester,
                                 TimePoint now) {
   if (per_second <= 0) return false;
-  Issue& issue = issues_.try_emplace(server, Issue{now, {}}).first->second;
+  Issue& issue = issues_.try_emplace(server, Issue{now}).first->second;
   const bool is_turn_of_others =
       issue.other_denied_at && now - *issue.other_denied_at < kTurnOfOthers;
   const bool is_for_other = requester == PermitRequester::kOtherHost;
-  const Duration interval = FromMilliseconds(1000 / per_second);
-  if (now - issue.last_at < interval || (is_turn_of_others && !is_for_other)) {
+  issue.interval = FromMilliseconds(1000 / per_second);
+  if (now - issue.last_at < issue.interval ||
+      (is_turn_of_others && !is_for_other)) {
     if (is_for_other) issue.other_denied_at = now;
     return false;
   }
@@ -42,7 +43,9 @@
 
 void ColdStartPermits::RemoveStale(Duration age, TimePoint now) {
   for (auto it = issues_.begin(); it != issues_.end();) {
-    it = now - it->second.last_at > age ? issues_.erase(it) : std::next(it);
+    const Issue& issue = it->second;
+    it = now - issue.last_at > issue.interval + age ? issues_.erase(it)
+                                                    : std::next(it);
   }
   for (auto it = valid_until_.begin(); it != valid_until_.end();) {
     it = it->second <= now ? valid_until_.erase(it) : std::next(it);
--- a/heatherlatch/admission/cold_start_permits.h
+++ b/heatherlatch/admission/cold_start_permits.h
@@ -52,12 +52,14 @@
   // Uses a permit. Does nothing without a valid one.
   void Use(const BackendServerName& server) { valid_until_.erase(server); }
 
-  // Forgets the servers for which nothing was issued or stored for `age`.
+  // Forgets the servers for which nothing was issued or stored for `age` beyond
+  // the interval of their permits.
   void RemoveStale(Duration age, TimePoint now);
 
  private:
   struct Issue {
     TimePoint last_at;  // When the last permit was issued, or first asked for.
+    Duration interval{};  // Between two permits.
     // When another host asked in vain, unless one got a permit since.
     std::optional<TimePoint> other_denied_at;
   };
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -38,8 +38,8 @@
 
 // How long the observations of a server are kept after the last one.
 constexpr Duration kObservationRetention = std::chrono::minutes(5);
-// The same for a server in cold start, after the last permit. Less than the
-// shortest time between two cold starts.
+// How long the last permit for a server in cold start is remembered, beyond the
+// interval of its permits.
 constexpr Duration kColdStartRetention = std::chrono::seconds(2);
 
 Duration ReadClock(clockid_t clock) {
