Serve organisations: keys, their withdrawal, home regions and rank

Cause: nothing decoded the organisations of a configuration. The key of a caller was passed to the server, requests with unknown and withdrawn keys ran, and the home regions of an organisation were ignored.

Change: heatherlatch/organisations finds the organisation of a key and decides whether the key may be used. A key is accepted only while the host can prove that the store held its configuration within the setting key_validity, along every way on which the configuration travels: the time of the question counts, not that of the answer, and time in suspension counts too. It is checked again when a request is sent. Without organisations in the configuration nothing changes on the wire.

--- a/heatherlatch/base/outcome.cc
+++ b/heatherlatch/base/outcome.cc
@@ -40,6 +40,14 @@
       return "caller-gone";
     case NotRunReason::kOutOfMemory:
       return "out-of-memory";
+    case NotRunReason::kUnknownKey:
+      return "unknown-key";
+    case NotRunReason::kKeyNotConfirmed:
+      return "key-not-confirmed";
+    case NotRunReason::kKeyWithdrawn:
+      return "key-withdrawn";
+    case NotRunReason::kAllotmentExceeded:
+      return "allotment-exceeded";
   }
   return "not-run";
 }
--- a/heatherlatch/base/outcome.h
+++ b/heatherlatch/base/outcome.h
@@ -35,6 +35,10 @@
   kSuspectedOfCrashingServers,
   kCallerDisconnected,
   kOutOfMemory,  // The host could not have held the response.
+  kUnknownKey,
+  kKeyNotConfirmed,    // The host cannot tell whether the key is still valid.
+  kKeyWithdrawn,       // While the request waited.
+  kAllotmentExceeded,  // Of the organisation, over all hosts.
 };
 
 // Why it is not known whether a request ran.
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -167,6 +167,10 @@
                {"hops", response.hops},
                {"away", response.store_was_unavailable},
                {"items", std::move(items)}};
+  if (response.proven_age) {
+    json["proven"] = static_cast<std::int64_t>(response.proven_age->count());
+    json["waited"] = static_cast<std::int64_t>(response.waited.count());
+  }
   if (!response.suspects.empty()) json["suspects"] = ToJson(response.suspects);
   if (!response.permitted_servers.empty()) {
     json["permits"] = ToJson(response.permitted_servers);
@@ -199,6 +203,10 @@
     response.age = ToDuration(message.at("age"));
     response.hops = static_cast<int>(ToCount(message.at("hops"), kMaxCount));
     response.store_was_unavailable = message.at("away").get<bool>();
+    if (message.contains("proven")) {
+      response.proven_age = ToDuration(message.at("proven"));
+      response.waited = ToDuration(message.at("waited"));
+    }
     response.suspects = ToNotices(message);
     response.permitted_servers = ToServers(message, "permits");
     for (const Json& item : message.at("items")) {
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -5,6 +5,7 @@
 #ifndef HEATHERLATCH_RELAY_PEER_MESSAGES_H_
 #define HEATHERLATCH_RELAY_PEER_MESSAGES_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,11 @@
   // servers may have expired.
   bool store_was_unavailable = false;
   std::vector<SuspectNotice> suspects;
+  // How long the responding host is proven to be behind the store at most when
+  // it responded; absent: it cannot prove any bound.
+  std::optional<std::chrono::milliseconds> proven_age;
+  // How long the response waited for a change.
+  std::chrono::milliseconds waited{};
   // The servers in cold start for which a permit was issued.
   std::vector<BackendServerName> permitted_servers;
   // Items that could not be read, and are not in `page`.
--- a/heatherlatch/routing/route_table.h
+++ b/heatherlatch/routing/route_table.h
@@ -1,4 +1,5 @@
-// The routes that operators publish, and the matching of requests to routes.
+// The routes and organisations that operators publish, and the matching of
+// requests to routes.
 //
 // Example:
 //   const TrafficRoute* route = table.Find("shop.example", "/tally/7?day=2");
@@ -17,6 +18,7 @@
 
 #include "heatherlatch/base/name.h"
 #include "heatherlatch/base/time.h"
+#include "heatherlatch/organisations/organisation_directory.h"
 
 namespace heatherlatch {
 
@@ -39,6 +41,8 @@
   // Empty: the route cannot be read, and its requests are refused as not run.
   std::vector<WeightedService> weighted_services;
   std::vector<RegionName> home_regions;  // Empty: any region.
+  // Whether requests need no key of an organisation.
+  bool is_public = false;
 };
 
 // Settings that operators publish for a service, apart from its servers.
@@ -61,6 +65,8 @@
   std::vector<TrafficRoute> routes;
   std::vector<RouteName> unreadable_routes;  // In `routes` too.
   std::map<ServiceName, ServiceSettings> services;
+  // Empty: requests carry no keys.
+  OrganisationDirectory organisations;
   CallerLimits limits;
   // Whether the configuration states `limits`. False: the times are built-in
   // ones, and the sizes are not known.
--- a/heatherlatch/routing/table_confirmation.h
+++ b/heatherlatch/routing/table_confirmation.h
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "heatherlatch/base/time.h"
+#include "heatherlatch/organisations/caller_identity.h"
 #include "heatherlatch/relay/source_choice.h"
 
 namespace heatherlatch {
@@ -21,6 +22,9 @@
   std::optional<TimePoint> confirmed_at;
   // Where that confirmation came from.
   ItemOrigin origin;
+  // When the store is proven to have held the table, whatever the delays on the
+  // way to this host: not later than that. Absent: not proven since the start.
+  std::optional<SuspendAwareTime> held_at;
   // Whether the table is the newest one received. False: a newer one could not
   // be read.
   bool is_newest = true;
--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -15,6 +15,8 @@
                                          std::chrono::hours(2)};
 constexpr Range<Duration> kFirstWaitRange{Duration::zero(),
                                           std::chrono::minutes(1)};
+constexpr Range<Duration> kKeyValidityRange{std::chrono::seconds(1),
+                                            std::chrono::hours(24)};
 constexpr Range<double> kRetryShareRange{0, 1};
 constexpr Range<double> kProbesRange{1, 10'000};
 constexpr Range<double> kMemoryLimitRange{32, 1'000'000};
@@ -75,6 +77,8 @@
                   &settings.retry_share);
   AssignIfPresent(reader.Number("probes_per_second", kOptional, kProbesRange),
                   &settings.probes_per_second);
+  settings.key_validity =
+      reader.Time("key_validity", kOptional, kKeyValidityRange);
   ReadMemoryLimit(&reader, &settings);
   reader.Finish();
   if (!context.findings.empty()) return std::move(context.findings);
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -49,6 +50,10 @@
   // Health and load probes that one server may receive a second from all hosts
   // together.
   double probes_per_second = 60;
+  // How long after an operator took a key of an organisation away hosts may
+  // still accept it, whatever they are cut off from. Absent: until they learn
+  // of it.
+  std::optional<Duration> key_validity;
 };
 
 // @param yaml  the text of the file
--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -322,6 +322,7 @@
   request.authority = std::string(AsView(message[http::field::host]));
   request.request_id = fields.request_id;
   request.time_budget = fields.time_budget;
+  request.key = fields.key;
   request.read_at = arrived_at_;
   request.has_body =
       message.find(http::field::content_length) != message.end() ||
@@ -329,8 +330,10 @@
   for (const auto& field : message) {
     const std::string_view name = AsView(field.name_string());
     if (!wire::IsForwardedToServer(name)) continue;
-    request.forwarded_fields.append(name).append(": ");
-    request.forwarded_fields.append(AsView(field.value())).append("\r\n");
+    const std::string line =
+        std::string(name) + ": " + std::string(AsView(field.value())) + "\r\n";
+    request.forwarded_fields += line;
+    if (!wire::IsIdentityField(name)) request.anonymous_fields += line;
   }
   if (!message.body().empty()) {
     request.body =
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -112,6 +112,7 @@
     RefuseUnrouted();
     return;
   }
+  if (!Identify()) return;
   const double point =
       std::uniform_real_distribution<double>(0, 1)(context_->rng);
   const WeightedService* chosen = ChooseService(*route_, point);
@@ -131,6 +132,58 @@
   SelectServer(SendKind::kPrimary);
 }
 
+bool Exchange::Identify() {
+  key_checked_in_ = routes_->version;
+  if (routes_->organisations.empty()) return true;
+  const CallerVerdict verdict =
+      IdentifyCaller(routes_->organisations, request_.key, route_->is_public,
+                     context_->KnowledgeOfKeys());
+  if (const auto* known = std::get_if<OnBehalfOf>(&verdict)) {
+    organisation_ = *known->organisation;
+    context_->metrics.Count("keys", "accepted");
+    return true;
+  }
+  if (std::holds_alternative<Anonymous>(verdict)) return true;
+  RefuseKey(verdict);
+  return false;
+}
+
+void Exchange::RefuseKey(const CallerVerdict& verdict) {
+  const auto* presented = std::get_if<PresentedKey>(&request_.key);
+  const std::string tag = presented == nullptr ? "" : KeyTag(presented->key);
+  const auto* not_confirmed = std::get_if<KeyNotConfirmed>(&verdict);
+  const std::string_view why =
+      not_confirmed == nullptr ? "unknown" : not_confirmed->reason;
+  context_->metrics.Count("keys", why);
+  context_->log.Write(
+      "key-refused",
+      {{"request", request_.request_id}, {"key_tag", tag}, {"reason", why}});
+  if (not_confirmed == nullptr) {
+    RefuseByConfiguration(kUnauthorized, NotRunReason::kUnknownKey,
+                          std::nullopt);
+  } else {
+    RefuseByConfiguration(kServiceUnavailable, NotRunReason::kKeyNotConfirmed,
+                          kRetryAfter);
+  }
+}
+
+bool Exchange::MayStillUseKey() {
+  if (!organisation_) return true;
+  const bool current = context_->MayUseKeys();
+  if (current && context_->routes->version == key_checked_in_) return true;
+  const CallerVerdict verdict =
+      IdentifyCaller(context_->routes->organisations, request_.key, false,
+                     {context_->table_confirmation.is_newest, current});
+  const auto* known = std::get_if<OnBehalfOf>(&verdict);
+  if (known != nullptr && known->organisation->name == organisation_->name) {
+    key_checked_in_ = context_->routes->version;
+    organisation_ = *known->organisation;
+    return true;
+  }
+  context_->metrics.Count("keys", "withdrawn");
+  return false;
+}
+
 bool Exchange::Admit() {
   if (admitted_) return true;
   const SuspectVerdict verdict =
@@ -214,7 +267,7 @@
   const TimePoint now = SteadyClock::now();
   std::vector<Candidate> eligible;
   for (const ServerEntry* entry : context_->directory.Usable(service_, now)) {
-    if (!context_->IsInHomeRegion(*route_, entry->record.zone)) continue;
+    if (!MayBeServedIn(entry->record.zone)) continue;
     std::optional<Candidate> candidate = context_->CandidateFor(*entry, now);
     if (candidate) eligible.push_back(std::move(*candidate));
   }
@@ -316,7 +369,7 @@
 bool Exchange::PlaceOnOffered(std::vector<Candidate> offered) {
   boost::remove_erase_if(offered, [this](const Candidate& candidate) {
     return tried_.count(candidate.server.name) > 0 ||
-           !context_->IsInHomeRegion(*route_, candidate.server.zone);
+           !MayBeServedIn(candidate.server.zone);
   });
   RefreshCandidates(*context_, &offered, SteadyClock::now());
   const ExpectedWork work = context_->statistics.Expect(*route_);
@@ -344,7 +397,7 @@
   const WaitBounds bounds = BoundWait(state);
   WaitingRequest waiting;
   waiting.id = queue_id_;
-  waiting.priority = route_->priority;
+  waiting.priority = RankOf(route_->priority, organisation());
   waiting.send_by = now + bounds.until_late;
   waiting.give_up_at = now + bounds.until_given_up;
   if (context_->requests_end_at) {
@@ -413,6 +466,13 @@
 }
 
 void Exchange::Send(const Candidate& candidate, Duration expected) {
+  if (!MayStillUseKey()) {
+    // An attempt that runs already goes on.
+    if (attempts_.empty()) {
+      RefuseOrFail(NotRunReason::kKeyWithdrawn, kRetryAfter);
+    }
+    return;
+  }
   const TimePoint now = SteadyClock::now();
   const ServerRecord& server = candidate.server;
   auto attempt = std::make_shared<Attempt>();
@@ -463,9 +523,13 @@
 }
 
 OutgoingRequest Exchange::BuildServerRequest(const ServerRecord& server) const {
-  std::string head = request_.method + " " + request_.target + " HTTP/1.1\r\n" +
-                     request_.forwarded_fields +
-                     wire::ServerRequestFields(server.name, TimeLeft());
+  std::string head =
+      request_.method + " " + request_.target + " HTTP/1.1\r\n" +
+      (routes_->organisations.empty() ? request_.forwarded_fields
+                                      : request_.anonymous_fields) +
+      wire::ServerRequestFields(
+          server.name, TimeLeft(),
+          organisation_ ? organisation_->name : OrganisationName());
   if (request_.has_body) {
     head += "Content-Length: " + std::to_string(Body().size()) + "\r\n";
   }
@@ -742,21 +806,24 @@
       route_ == nullptr ? "" : route_->name.str().c_str();
   const DecisionLog::Value absent = std::monostate();
   const auto& basis = configuration_basis_;
-  context_->log.Write("ended",
-                      {{"request", request_.request_id},
-                       {"route", route_name},
-                       {"outcome", outcome},
-                       {"reason", reason},
-                       {"status", static_cast<double>(response.status)},
-                       {"signed", LogValue(response.is_signed)},
-                       {"sends", static_cast<double>(sends_)},
-                       {"total_ms", ToMilliseconds(total)},
-                       {"authority", basis ? basis->authority() : absent},
-                       {"target", basis ? basis->target() : absent},
-                       {"configuration", basis ? basis->version() : absent},
-                       {"age_ms", basis ? basis->age_ms() : absent},
-                       {"source", basis ? basis->source() : absent},
-                       {"hops", basis ? basis->hops() : absent}});
+  context_->log.Write(
+      "ended",
+      {{"request", request_.request_id},
+       {"route", route_name},
+       {"organisation",
+        organisation_ ? DecisionLog::Value(organisation_->name.str()) : absent},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"status", static_cast<double>(response.status)},
+       {"signed", LogValue(response.is_signed)},
+       {"sends", static_cast<double>(sends_)},
+       {"total_ms", ToMilliseconds(total)},
+       {"authority", basis ? basis->authority() : absent},
+       {"target", basis ? basis->target() : absent},
+       {"configuration", basis ? basis->version() : absent},
+       {"age_ms", basis ? basis->age_ms() : absent},
+       {"source", basis ? basis->source() : absent},
+       {"hops", basis ? basis->hops() : absent}});
   const Done done = std::move(done_);
   if (done) done(std::move(response));
 }
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -42,6 +42,9 @@
   std::string authority;
   std::string request_id;
   std::string forwarded_fields;  // Complete header lines, each with CRLF.
+  // Those that do not state on whose behalf the request is sent.
+  std::string anonymous_fields = {};
+  CallerKey key = NoKey{};
   std::shared_ptr<const std::string> body = nullptr;  // Null: empty.
   ByteReservation held = {};  // For the body; to be kept as long as it.
   bool has_body = false;
@@ -99,6 +102,21 @@
   };
 
   void Route();
+  // Finds on whose behalf the request is sent, and refuses it if its key does
+  // not allow it.
+  // @return whether the request goes on
+  bool Identify();
+  // Checks the key again if the configuration has changed since.
+  // @return whether the request may be sent to a server now
+  bool MayStillUseKey();
+  // @return whether a server in the zone may receive the request
+  bool MayBeServedIn(const ZoneName& zone) const {
+    return context_->IsInHomeRegion(*route_, organisation(), zone);
+  }
+  // @return on whose behalf the request is sent, or nullptr
+  const TrafficOrganisation* organisation() const {
+    return organisation_ ? &*organisation_ : nullptr;
+  }
   void ArmDeadline();
   // @return whether the deadline passes before this host, which is behind, can
   //     have probed a server and read its response
@@ -169,6 +187,9 @@
   // Refuses the request because of what the configuration says or lacks.
   void RefuseByConfiguration(unsigned status, NotRunReason reason,
                              std::optional<Duration> retry_after);
+  // Refuses the request because its key is not known, or not certain to be
+  // valid.
+  void RefuseKey(const CallerVerdict& verdict);
   // Refuses the request because no route of the table matches it.
   void RefuseUnrouted();
   void FailAsUnknown(unsigned status, UnknownReason reason);
@@ -195,6 +216,9 @@
   Done done_;
   std::shared_ptr<const RouteTable> routes_;
   const TrafficRoute* route_ = nullptr;
+  // A copy: a newer configuration may change it while the request waits.
+  std::optional<TrafficOrganisation> organisation_;
+  std::uint64_t key_checked_in_ = 0;  // Version of the configuration.
   ServiceName service_;
   ContentDigest digest_ = 0;
   bool admitted_ = false;  // Counted as running by `CrashSuspects`.
--- a/heatherlatch/traffic/http_status.h
+++ b/heatherlatch/traffic/http_status.h
@@ -7,6 +7,7 @@
 enum HttpStatus : unsigned {
   kOk = 200,
   kBadRequest = 400,
+  kUnauthorized = 401,
   kNotFound = 404,
   kRequestTimeout = 408,
   kPayloadTooLarge = 413,
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -5,6 +5,7 @@
 
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/peer_requests.h"
+#include "heatherlatch/traffic/suspension.h"
 #include "platform/store_calls.h"
 
 namespace heatherlatch {
@@ -133,6 +134,7 @@
   followed_peer_.reset();
   if (!has_complete_list_) {
     context_->metrics.Count("store_calls", "list");
+    query_wait_ = milliseconds(0);
     Call(store, wire::ListRequest(ToString(store), list_after_key_),
          kStoreResponseMargin);
     return;
@@ -144,6 +146,7 @@
                             : choice_.IsReader() ? kReaderWatchWait
                                                  : kNonReaderWatchWait;
   context_->metrics.Count("store_calls", "watch");
+  query_wait_ = wait;
   Call(store, wire::WatchRequest(ToString(store), items_.revision(), wait),
        wait + kStoreResponseMargin);
 }
@@ -164,11 +167,11 @@
     connection_ = context_->connections.Open(endpoint);
     connected_to_ = endpoint;
   }
-  queried_at_ = SteadyClock::now();
+  queried_at_ = WithSuspension(SteadyClock::now());
   connection_->Call(
       {std::move(request)}, FeedBounds(),
       [this, call_id](const CallResult& result) { OnResult(call_id, result); });
-  ArmTimeout(call_id, queried_at_ + timeout);
+  ArmTimeout(call_id, queried_at_.at + timeout);
 }
 
 void PublishedFeed::ArmTimeout(std::size_t call_id, TimePoint deadline) {
@@ -252,6 +255,12 @@
   if (has_complete_list_) {
     relisting_.OnConfirmed(made_at);
     Merge(ToFeedPage(page, false), hops_);
+    SuspendAwareTime held_at = queried_at_;
+    if (page.items.empty() && page.unreadable.empty()) {
+      // Without a change the store responds when the wait is over.
+      held_at.at = std::min(held_at.at + query_wait_, made_at);
+    }
+    MarkHeld(held_at);
     FinishSuccessfulQuery(
         made_at, page.items.empty() ? Duration::zero() : kChangeBatchDelay);
     return {};
@@ -262,6 +271,7 @@
     partial_list_.is_complete = true;
     partial_list_.revision = page.revision;
     list_began_at_ = made_at;
+    list_queried_at_ = queried_at_;
   }
   partial_list_.items.insert(partial_list_.items.end(), page.items.begin(),
                              page.items.end());
@@ -275,6 +285,7 @@
   RestartList();
   relisting_.OnConfirmed(list_began_at_);
   Merge(complete_list, hops_);
+  MarkHeld(list_queried_at_);
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
                  {"revision", static_cast<double>(complete_list.revision)}});
@@ -323,6 +334,10 @@
   RestartList();
   followed_peer_ = std::get<PeerSource>(source_).endpoint;
   hops_ = response.hops + 1;
+  if (response.proven_age) {
+    MarkHeld({queried_at_.at + response.waited - *response.proven_age,
+              queried_at_.suspended});
+  }
   FinishSuccessfulQuery(confirmed_at,
                         has_changes ? kChangeBatchDelay / 4 : Duration::zero());
   return {};
@@ -331,7 +346,7 @@
 void PublishedFeed::FinishSuccessfulQuery(TimePoint confirmed_at,
                                           Duration next) {
   const TimePoint now = SteadyClock::now();
-  choice_.OnResponse(source_, now - queried_at_, now);
+  choice_.OnResponse(source_, now - queried_at_.at, now);
   TableConfirmation& confirmation = context_->table_confirmation;
   if (confirmation.confirmed_at.value_or(confirmed_at) <= confirmed_at) {
     confirmation.confirmed_at = confirmed_at;
@@ -396,13 +411,25 @@
   RespondToPending(false);
 }
 
-FeedResponse PublishedFeed::BuildPeerResponse(
-    std::uint64_t after_revision) const {
+void PublishedFeed::MarkHeld(const SuspendAwareTime& at) {
+  TableConfirmation& confirmation = context_->table_confirmation;
+  if (!confirmation.is_newest) return;
+  std::optional<SuspendAwareTime>& held_at = confirmation.held_at;
+  if (!held_at || TimeBetween(*held_at, at) > Duration::zero()) held_at = at;
+}
+
+FeedResponse PublishedFeed::BuildPeerResponse(std::uint64_t after_revision,
+                                              TimePoint received_at) const {
   const TimePoint now = SteadyClock::now();
   FeedResponse response;
   response.page = items_.ChangesSince(after_revision);
   response.age = std::chrono::duration_cast<milliseconds>(Age(now));
   response.hops = hops_;
+  if (const auto& held_at = context_->table_confirmation.held_at) {
+    response.proven_age = std::chrono::ceil<milliseconds>(
+        TimeBetween(*held_at, WithSuspension(now)));
+    response.waited = std::chrono::floor<milliseconds>(now - received_at);
+  }
   response.store_was_unavailable = relisting_.StoreWasUnavailable(now);
   response.suspects = suspects_.Recent(now);
   return response;
@@ -423,10 +450,11 @@
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
                                query.after_revision >= items_.revision();
         if (!must_wait) {
-          respond({kOk, Encode(BuildPeerResponse(query.after_revision))});
+          respond({kOk, Encode(BuildPeerResponse(query.after_revision, now))});
           return {};
         }
-        pending_.push_back({query.after_revision, now + query.wait, respond});
+        pending_.push_back(
+            {query.after_revision, now, now + query.wait, respond});
         if (pending_.size() == 1) ArmPendingTimer();
         return {};
       },
@@ -503,7 +531,8 @@
       ++it;
       continue;
     }
-    it->respond({kOk, Encode(BuildPeerResponse(it->after_revision))});
+    it->respond(
+        {kOk, Encode(BuildPeerResponse(it->after_revision, it->received_at))});
     it = pending_.erase(it);
   }
 }
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -76,6 +76,7 @@
   // A query of another host that waits for a change.
   struct PeerQuery {
     std::uint64_t after_revision = 0;
+    TimePoint received_at;
     TimePoint deadline;
     SimpleHttpServer::Respond respond;
   };
@@ -116,7 +117,11 @@
 
   void SendSuspect(const Endpoint& reader, const SuspectNotice& notice);
   void MergeSuspects(const std::vector<SuspectNotice>& notices);
-  FeedResponse BuildPeerResponse(std::uint64_t after_revision) const;
+  FeedResponse BuildPeerResponse(std::uint64_t after_revision,
+                                 TimePoint received_at) const;
+  // Notes that the store is proven to have held the items that the host knows.
+  // @param at  not later than when it held them
+  void MarkHeld(const SuspendAwareTime& at);
   // @return a response that names the servers for which a permit was issued
   FeedResponse IssueColdPermits(const std::vector<BackendServerName>& servers,
                                 TimePoint now);
@@ -141,7 +146,8 @@
   std::optional<Endpoint> connected_to_;
   std::shared_ptr<ClientConnection> connection_;
   std::size_t call_id_ = 0;  // Results of an earlier call are ignored.
-  TimePoint queried_at_;
+  SuspendAwareTime queried_at_;
+  std::chrono::milliseconds query_wait_{};  // That the query allows.
   // The peer that responded last, if it is up to date.
   std::optional<Endpoint> followed_peer_;
 
@@ -152,8 +158,9 @@
   std::string list_after_key_;  // Where the list goes on; empty: at its start.
   // The problems logged last of unreadable items, by key.
   std::map<std::string, std::string> unreadable_;
-  TimePoint list_began_at_;  // When the first of these pages was made.
-  int failures_ = 0;         // Consecutive failed queries.
+  TimePoint list_began_at_;           // When the first of these pages was made.
+  SuspendAwareTime list_queried_at_;  // When it was queried.
+  int failures_ = 0;                  // Consecutive failed queries.
   // Set by a timeout or a repeated failure if the last query to the store
   // failed too; cleared by the next success.
   bool stale_ = false;
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -4,7 +4,9 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "heatherlatch/routing/unrouted_decision.h"
 #include "heatherlatch/traffic/service_queue.h"
+#include "heatherlatch/traffic/suspension.h"
 
 namespace heatherlatch {
 namespace {
@@ -196,10 +198,19 @@
 }
 
 bool TrafficContext::IsInHomeRegion(const TrafficRoute& route,
+                                    const TrafficOrganisation* organisation,
                                     const ZoneName& zone) const {
-  const std::vector<RegionName>& homes = route.home_regions;
-  return homes.empty() ||
-         std::find(homes.begin(), homes.end(), RegionOf(zone)) != homes.end();
+  return IsHome(RegionOf(zone), route.home_regions, organisation);
+}
+
+bool TrafficContext::MayUseKeys() const {
+  if (!settings.key_validity) return true;
+  return IsCurrent(table_confirmation.held_at, settings.key_validity,
+                   WithSuspension(SteadyClock::now()));
+}
+
+KeyKnowledge TrafficContext::KnowledgeOfKeys() const {
+  return {IsConfirmed(table_confirmation, SteadyClock::now()), MayUseKeys()};
 }
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -91,9 +91,17 @@
   bool MaySendDuringColdStart(const ServerRecord& server, TimePoint now) const;
 
   Distance DistanceTo(const ZoneName& zone) const;
-  // @return whether the zone is in a home region of the route, so that it may
-  //     serve the route's requests
-  bool IsInHomeRegion(const TrafficRoute& route, const ZoneName& zone) const;
+  // @return whether the zone is in a home region of the route and of the
+  //     organisation, so that it may serve the request
+  // @param organisation  null: none
+  bool IsInHomeRegion(const TrafficRoute& route,
+                      const TrafficOrganisation* organisation,
+                      const ZoneName& zone) const;
+
+  // @return whether keys of organisations may be accepted now
+  bool MayUseKeys() const;
+  // @return what the host knows of the keys in its newest configuration
+  KeyKnowledge KnowledgeOfKeys() const;
 
   boost::asio::io_context* io;
   TrafficHostSettings settings;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -1,12 +1,11 @@
 #include "heatherlatch/traffic/traffic_host.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <csignal>
 #include <utility>
 
 #include "heatherlatch/traffic/http_status.h"
+#include "heatherlatch/traffic/suspension.h"
 #include "platform/store_calls.h"
 
 namespace heatherlatch {
@@ -42,17 +41,6 @@
 // interval of its permits.
 constexpr Duration kColdStartRetention = std::chrono::seconds(2);
 
-Duration ReadClock(clockid_t clock) {
-  timespec time{};
-  ::clock_gettime(clock, &time);
-  return std::chrono::seconds(time.tv_sec) +
-         std::chrono::nanoseconds(time.tv_nsec);
-}
-
-Duration TotalSuspension() {
-  return ReadClock(CLOCK_BOOTTIME) - ReadClock(CLOCK_MONOTONIC);
-}
-
 }  // namespace
 
 TrafficHost::TrafficHost(asio::io_context* io,
@@ -231,6 +219,7 @@
   context_.settings.platform = settings->platform;
   context_.settings.stop_wait = settings->stop_wait;
   context_.settings.memory_limit_bytes = settings->memory_limit_bytes;
+  context_.settings.key_validity = settings->key_validity;
   context_.ApplyMemoryLimit();
   feed_.Reconfigure();
 }
@@ -324,6 +313,7 @@
         for (const RouteName& route : table.unreadable_routes) {
           context_.log.Write("route-refused", {{"route", route.str()}});
         }
+        LogOrganisations(table.organisations);
         context_.routes = std::make_shared<const RouteTable>(std::move(table));
         return {};
       },
@@ -331,8 +321,19 @@
       [&] { refuse("the route table cannot be decoded"); });
 }
 
+void TrafficHost::LogOrganisations(const OrganisationDirectory& organisations) {
+  for (const OrganisationName& name : organisations.unreadable()) {
+    context_.log.Write("organisation-refused", {{"organisation", name.str()}});
+  }
+  for (const OrganisationName& name : organisations.WithSharedKeys()) {
+    context_.log.Write("organisation-key-shared",
+                       {{"organisation", name.str()}});
+  }
+}
+
 bool TrafficHost::IsReady() const {
-  return context_.routes && context_.directory.size() > 0 && !stop_began_;
+  return context_.routes && context_.directory.size() > 0 && !stop_began_ &&
+         (context_.routes->organisations.empty() || context_.MayUseKeys());
 }
 
 void TrafficHost::BeginStop() {
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -65,6 +65,8 @@
              TimePoint now);
   void ApplyServer(const std::string& name, const PublishedItem& item,
                    TimePoint now);
+  // Logs the organisations of which a part cannot be used.
+  void LogOrganisations(const OrganisationDirectory& organisations);
   void ApplyRouteTable(const PublishedItem& item, const ItemOrigin& origin);
   std::optional<ServerRecord> ReadServer(const std::string& name,
                                          const PublishedItem& item);
