--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -67,6 +67,12 @@
       {"configuration-unavailable",
        "the host knew no configuration that the store had confirmed"},
       {"out-of-memory", "the host had no memory left for its response"},
+      {"unknown-key", "no organisation of the configuration holds its key"},
+      {"key-not-confirmed",
+       "the host could not prove that its key is still valid"},
+      {"key-withdrawn", "its key was taken away while it waited"},
+      {"allotment-exceeded",
+       "its organisation had used the requests that it is allotted"},
       {"suspected-of-crashing-servers",
        "servers crashed while they ran this content"},
   };
@@ -76,7 +82,9 @@
 }
 
 std::string RefusedCause(const std::string& reason, const Json& ended) {
-  const std::string cause = NotRunCause(reason, ended);
+  std::string cause = NotRunCause(reason, ended);
+  const std::string organisation = StringField(ended, "organisation");
+  if (!organisation.empty()) cause += " Organisation: " + organisation + ".";
   if (!ended.contains("configuration")) return cause;
   return cause + " Requested: " + StringField(ended, "authority") + " " +
          StringField(ended, "target") + ". " + ConfigurationBasis(ended);
@@ -139,10 +147,19 @@
 std::vector<LogLine> FindContext(const std::vector<LogLine>& request_lines,
                                  const std::vector<LogLine>& lines) {
   static const std::set<std::string> change_events = {
-      "configuration",  "server-draining",     "server-gone",
-      "server-missing", "zone-out-of-service", "zone-in-service",
-      "store-lost",     "store-regained",      "started",
-      "server-crashed", "suspect-learnt"};
+      "configuration",
+      "server-draining",
+      "server-gone",
+      "server-missing",
+      "zone-out-of-service",
+      "zone-in-service",
+      "store-lost",
+      "store-regained",
+      "started",
+      "server-crashed",
+      "suspect-learnt",
+      "organisation-refused",
+      "organisation-key-shared"};
   std::vector<LogLine> context;
   if (request_lines.empty()) return context;
   std::set<std::string> servers;
