Measure the distance of a reader without the wait of the query

Cause: a query of a host that follows a reader waits up to 600 ms for a change, and that wait counted as the round trip to the reader. So the reader that a host followed ranked behind the others after each query, and hosts went from reader to reader in turn: two thirds of the feed crossed regions, with a new connection each time.

Ruled out: sizes of responses (differences since the last query) and tombstones.

Change: a response states how long the host kept the query, which is taken off. A single slow response counts by an eighth, so that it moves no host.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -169,7 +169,9 @@
                {"items", std::move(items)}};
   if (response.proven_age) {
     json["proven"] = static_cast<std::int64_t>(response.proven_age->count());
-    json["waited"] = static_cast<std::int64_t>(response.waited.count());
+  }
+  if (response.waited) {
+    json["waited"] = static_cast<std::int64_t>(response.waited->count());
   }
   if (!response.suspects.empty()) json["suspects"] = ToJson(response.suspects);
   if (!response.permitted_servers.empty()) {
@@ -205,6 +207,8 @@
     response.store_was_unavailable = message.at("away").get<bool>();
     if (message.contains("proven")) {
       response.proven_age = ToDuration(message.at("proven"));
+    }
+    if (message.contains("waited")) {
       response.waited = ToDuration(message.at("waited"));
     }
     response.suspects = ToNotices(message);
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -57,8 +57,9 @@
   // How long the responding host is proven to be behind the store at most when
   // it responded; absent: it cannot prove any bound.
   std::optional<std::chrono::milliseconds> proven_age;
-  // How long the response waited for a change.
-  std::chrono::milliseconds waited{};
+  // How long the responding host kept the request until there was a change;
+  // absent: not stated.
+  std::optional<std::chrono::milliseconds> waited;
   // The servers in cold start for which a permit was issued.
   std::vector<BackendServerName> permitted_servers;
   // Items that could not be read, and are not in `page`.
--- a/heatherlatch/relay/source_choice.cc
+++ b/heatherlatch/relay/source_choice.cc
@@ -9,6 +9,10 @@
 
 constexpr int kMaxDoublings = 5;
 
+// A single slow response does not make a source farther away than others: a
+// longer round trip counts by this part.
+constexpr double kWeightOfLongerRoundTrip = 0.125;
+
 // How long a source that failed is ranked behind the others: as long as a
 // requester counts as a source.
 constexpr Duration kRecentFailurePeriod = kRequesterLifetime;
@@ -18,6 +22,12 @@
   return std::min(kMaxStoreRetryDelay, kMinStoreRetryDelay * (1 << doublings));
 }
 
+Duration Smooth(Duration known, Duration measured) {
+  measured = std::max(measured, Duration(1));
+  if (known == Duration::zero() || measured < known) return measured;
+  return known + Scale(measured - known, kWeightOfLongerRoundTrip);
+}
+
 }  // namespace
 
 std::string ToString(const FeedSource& source) {
@@ -131,7 +141,7 @@
     Peer& peer = peers_[peer_source->endpoint];
     peer.failed_at.reset();
     peer.backoff_until.reset();
-    peer.round_trip = round_trip;
+    peer.round_trip = Smooth(peer.round_trip, round_trip);
     return;
   }
   queries_store_first_ = false;
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -105,7 +105,8 @@
   bool IsRefusedByStore() const { return store_failures_ > 0; }
 
   // Records a response of an up-to-date source.
-  // @param round_trip  time from the request to the response
+  // @param round_trip  time from the request to the response, without the time
+  //                    that the source kept the request
   void OnResponse(const FeedSource& source, Duration round_trip, TimePoint now);
 
   // Records that the source did not respond or refused the request.
@@ -124,7 +125,7 @@
     std::optional<TimePoint> failed_at;
     std::optional<TimePoint> backoff_until;
     std::optional<TimePoint> last_request_at;
-    Duration round_trip{};
+    Duration round_trip{};  // Zero: not known yet.
   };
 
   // @return a request to a reader while readers of a new deployment may still
--- a/heatherlatch/relay/source_choice_test.cc
+++ b/heatherlatch/relay/source_choice_test.cc
@@ -28,6 +28,19 @@
   CHECK(Describe(host.Next(kStart)) == ToString(kNear));
 }
 
+// Guards against hosts that leave their region for a reader farther away.
+TEST_CASE("one slow response does not make the nearest reader look far") {
+  SourceChoice host(kSelf, {kNear, kFar}, DeploymentStart::kFirst);
+  host.OnResponse(PeerSource{kFar}, milliseconds(60), kStart);
+  host.OnResponse(PeerSource{kNear}, milliseconds(1), kStart);
+  host.OnResponse(PeerSource{kNear}, milliseconds(300), kStart);
+  CHECK(Describe(host.Next(kStart)) == ToString(kNear));
+  for (int i = 0; i < 20; ++i) {
+    host.OnResponse(PeerSource{kNear}, milliseconds(300), kStart);
+  }
+  CHECK(Describe(host.Next(kStart)) == ToString(kFar));
+}
+
 TEST_CASE("a host queries the store itself while no reader is available") {
   SourceChoice host(kSelf, {kNear, kFar}, DeploymentStart::kFirst);
   host.OnResponse(PeerSource{kNear}, milliseconds(1), kStart);
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -262,7 +262,8 @@
     }
     MarkHeld(held_at);
     FinishSuccessfulQuery(
-        made_at, page.items.empty() ? Duration::zero() : kChangeBatchDelay);
+        made_at, made_at - queried_at_.at,
+        page.items.empty() ? Duration::zero() : kChangeBatchDelay);
     return {};
   }
   // The pages are not a snapshot. The revision of the first page is kept, so
@@ -289,7 +290,8 @@
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
                  {"revision", static_cast<double>(complete_list.revision)}});
-  FinishSuccessfulQuery(list_began_at_, Duration::zero());
+  FinishSuccessfulQuery(list_began_at_, made_at - queried_at_.at,
+                        Duration::zero());
   return {};
 }
 
@@ -332,21 +334,28 @@
   // for later changes only.
   has_complete_list_ = true;
   RestartList();
-  followed_peer_ = std::get<PeerSource>(source_).endpoint;
+  const Endpoint& peer = std::get<PeerSource>(source_).endpoint;
+  context_->metrics.Count("peer_queries",
+                          followed_peer_ == peer ? "same-peer" : "other-peer");
+  followed_peer_ = peer;
   hops_ = response.hops + 1;
   if (response.proven_age) {
-    MarkHeld({queried_at_.at + response.waited - *response.proven_age,
+    MarkHeld({queried_at_.at + response.waited.value_or(milliseconds(0)) -
+                  *response.proven_age,
               queried_at_.suspended});
   }
-  FinishSuccessfulQuery(confirmed_at,
+  // The time that the peer kept the query is no distance.
+  const Duration round_trip = ResponseBeganAt() - queried_at_.at -
+                              response.waited.value_or(milliseconds(0));
+  FinishSuccessfulQuery(confirmed_at, round_trip,
                         has_changes ? kChangeBatchDelay / 4 : Duration::zero());
   return {};
 }
 
 void PublishedFeed::FinishSuccessfulQuery(TimePoint confirmed_at,
-                                          Duration next) {
+                                          Duration round_trip, Duration next) {
   const TimePoint now = SteadyClock::now();
-  choice_.OnResponse(source_, now - queried_at_.at, now);
+  choice_.OnResponse(source_, round_trip, now);
   TableConfirmation& confirmation = context_->table_confirmation;
   if (confirmation.confirmed_at.value_or(confirmed_at) <= confirmed_at) {
     confirmation.confirmed_at = confirmed_at;
@@ -428,8 +437,8 @@
   if (const auto& held_at = context_->table_confirmation.held_at) {
     response.proven_age = std::chrono::ceil<milliseconds>(
         TimeBetween(*held_at, WithSuspension(now)));
-    response.waited = std::chrono::floor<milliseconds>(now - received_at);
   }
+  response.waited = std::chrono::floor<milliseconds>(now - received_at);
   response.store_was_unavailable = relisting_.StoreWasUnavailable(now);
   response.suspects = suspects_.Recent(now);
   return response;
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -109,8 +109,11 @@
   void MarkStale(const std::string& source, const std::string& problem);
   void MarkUpToDate();
   // @param confirmed_at  when the store last confirmed the items
+  // @param round_trip    time from the query to the response, without the time
+  //                      that the source kept it
   // @param next          delay until the next query
-  void FinishSuccessfulQuery(TimePoint confirmed_at, Duration next);
+  void FinishSuccessfulQuery(TimePoint confirmed_at, Duration round_trip,
+                             Duration next);
   // @param hops  hosts between this one and the store
   void Merge(const FeedPage& page, int hops);
   void QueryAfter(Duration delay);
