Carry questions for tokens of fleet-wide bounds between hosts

The bounds that all hosts keep together need a message by which a host asks a reader for tokens. FeedRequest and FeedResponse carry them, bounded in number, size of names and tokens, as the servers in cold start are.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -1,5 +1,6 @@
 #include "heatherlatch/relay/peer_messages.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -137,6 +138,76 @@
   return servers;
 }
 
+// Throws Json::exception where the value is not an array of a few entries.
+const Json& ToBudgetEntries(const Json& entries) {
+  if (!entries.is_array() || entries.size() > kMaxBudgetAsks) {
+    throw Json::type_error::create(
+        302, "the tokens are not an array of a few entries", &entries);
+  }
+  return entries;
+}
+
+BudgetKey ToBudgetKey(const Json& entry) {
+  constexpr auto kLastKind =
+      static_cast<std::uint64_t>(BudgetKind::kAllotment);
+  BudgetKey key;
+  key.kind = static_cast<BudgetKind>(ToCount(entry.at(0), kLastKind));
+  key.subject = entry.at(1).get<std::string>();
+  if (key.subject.size() > kMaxBudgetSubjectBytes) {
+    throw Json::type_error::create(302, "the name of a bound is too long",
+                                   &entry);
+  }
+  return key;
+}
+
+// An ask is [kind, subject, wanted].
+Json ToJson(const std::vector<BudgetAsk>& asks) {
+  Json encoded = Json::array();
+  for (const BudgetAsk& ask : asks) {
+    encoded.push_back(
+        {static_cast<unsigned>(ask.key.kind), ask.key.subject, ask.wanted});
+  }
+  return encoded;
+}
+
+// Hosts of an earlier version ask for no tokens.
+std::vector<BudgetAsk> ToAsks(const Json& message) {
+  std::vector<BudgetAsk> asks;
+  if (!message.contains("budget")) return asks;
+  for (const Json& entry : ToBudgetEntries(message.at("budget"))) {
+    asks.push_back({ToBudgetKey(entry), static_cast<int>(ToCount(
+                                            entry.at(2), kMaxBudgetTokens))});
+  }
+  return asks;
+}
+
+// A grant is [kind, subject, granted, milliseconds until the next].
+Json ToJson(const std::vector<BudgetGrant>& grants) {
+  Json encoded = Json::array();
+  for (const BudgetGrant& grant : grants) {
+    const Duration until_next = std::clamp<Duration>(
+        grant.until_next, Duration::zero(),
+        std::chrono::milliseconds(kMaxMilliseconds));
+    encoded.push_back(
+        {static_cast<unsigned>(grant.key.kind), grant.key.subject,
+         grant.granted,
+         std::chrono::ceil<std::chrono::milliseconds>(until_next).count()});
+  }
+  return encoded;
+}
+
+std::vector<BudgetGrant> ToGrants(const Json& message) {
+  std::vector<BudgetGrant> grants;
+  if (!message.contains("grants")) return grants;
+  for (const Json& entry : ToBudgetEntries(message.at("grants"))) {
+    grants.push_back(
+        {ToBudgetKey(entry),
+         static_cast<int>(ToCount(entry.at(2), kMaxBudgetTokens)),
+         ToDuration(entry.at(3))});
+  }
+  return grants;
+}
+
 }  // namespace
 
 bool IsUpToDate(const FeedResponse& response) {
@@ -153,6 +224,9 @@
   if (!request.cold_servers.empty()) {
     json["cold"] = ToJson(request.cold_servers);
   }
+  if (!request.budget_asks.empty()) {
+    json["budget"] = ToJson(request.budget_asks);
+  }
   return ToBytes(json);
 }
 
@@ -175,6 +249,9 @@
   if (!response.permitted_servers.empty()) {
     json["permits"] = ToJson(response.permitted_servers);
   }
+  if (!response.budget_grants.empty()) {
+    json["grants"] = ToJson(response.budget_grants);
+  }
   return ToBytes(json);
 }
 
@@ -188,6 +265,7 @@
                       ParseEndpoint(message.at("from").get<std::string>()));
     request.suspects = ToNotices(message);
     request.cold_servers = ToServers(message, "cold");
+    request.budget_asks = ToAsks(message);
     return request;
   } catch (const Json::exception& error) {
     return Fail(PeerMessageError{error.what()});
@@ -209,6 +287,7 @@
     }
     response.suspects = ToNotices(message);
     response.permitted_servers = ToServers(message, "permits");
+    response.budget_grants = ToGrants(message);
     for (const Json& item : message.at("items")) {
       try {
         response.page.items.push_back(ToItem(item));
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -14,6 +14,7 @@
 #include "heatherlatch/base/endpoint.h"
 #include "heatherlatch/base/result.h"
 #include "heatherlatch/base/time.h"
+#include "heatherlatch/fleet_budget/budget_desk.h"
 #include "heatherlatch/relay/published_items.h"
 
 namespace heatherlatch {
@@ -23,6 +24,13 @@
   std::string problem;
 };
 
+// Bounds on the tokens of a question and of its response. A message that
+// exceeds one is not decoded. The time until the next token is sent as whole
+// milliseconds, rounded up, and as a day at most.
+inline constexpr std::size_t kMaxBudgetAsks = kMaxAsksInQuestion;
+inline constexpr std::size_t kMaxBudgetSubjectBytes = 256;
+inline constexpr int kMaxBudgetTokens = kMaxTokensInAsk;
+
 struct FeedRequest {
   Endpoint requester;  // Where the requesting host can be queried in turn.
   std::uint64_t after_revision = 0;     // Only later changes are requested.
@@ -31,6 +39,9 @@
   // Servers in cold start for which the requesting host asks for permits; the
   // response then states only those.
   std::vector<BackendServerName> cold_servers;
+  // Tokens for which the requesting host asks; the response then states only
+  // `budget_grants`.
+  std::vector<BudgetAsk> budget_asks = {};
 };
 
 // The most hosts that may lie between a responding host and the store for its
@@ -61,6 +72,7 @@
   std::chrono::milliseconds waited{};
   // The servers in cold start for which a permit was issued.
   std::vector<BackendServerName> permitted_servers;
+  std::vector<BudgetGrant> budget_grants;
   // Items that could not be read, and are not in `page`.
   int unreadable_items = 0;
 };
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -57,6 +57,51 @@
   CHECK(decoded_response->permitted_servers == response.permitted_servers);
 }
 
+TEST_CASE("tokens of bounds are decoded as they were encoded") {
+  const BudgetKey shops{BudgetKind::kAllotment, "shops"};
+  const BudgetKey server{BudgetKind::kColdStart, "i-1"};
+  FeedRequest request;
+  request.requester = {"10.0.0.1", 8544};
+  request.budget_asks = {{shops, 12}, {server, 1}};
+  const auto asked = ValueOf(DecodeFeedRequest(Encode(request)));
+  REQUIRE(asked);
+  REQUIRE(asked->budget_asks.size() == 2);
+  CHECK(asked->budget_asks[0].key == shops);
+  CHECK(asked->budget_asks[0].wanted == 12);
+  CHECK(asked->budget_asks[1].key == server);
+
+  FeedResponse response;
+  response.budget_grants = {{shops, 7, std::chrono::microseconds(1200)},
+                            {server, 0, Duration::max()}};
+  const auto granted = ValueOf(DecodeFeedResponse(Encode(response)));
+  REQUIRE(granted);
+  REQUIRE(granted->budget_grants.size() == 2);
+  CHECK(granted->budget_grants[0].key == shops);
+  CHECK(granted->budget_grants[0].granted == 7);
+  CHECK(granted->budget_grants[0].until_next == milliseconds(2));
+  CHECK(granted->budget_grants[1].until_next == std::chrono::hours(24));
+}
+
+TEST_CASE("tokens beyond the bounds of a message are refused") {
+  const auto is_decoded = [](const std::vector<BudgetAsk>& asks) {
+    FeedRequest request;
+    request.requester = {"10.0.0.1", 8544};
+    request.budget_asks = asks;
+    return ValueOf(DecodeFeedRequest(Encode(request))).has_value();
+  };
+  const auto ask = [](std::size_t subject_bytes, int wanted) {
+    return BudgetAsk{
+        {BudgetKind::kRetry, std::string(subject_bytes, 's')}, wanted};
+  };
+  CHECK(is_decoded(std::vector<BudgetAsk>(kMaxBudgetAsks, ask(256, 10'000))));
+  CHECK_FALSE(
+      is_decoded(std::vector<BudgetAsk>(kMaxBudgetAsks + 1, ask(1, 1))));
+  CHECK_FALSE(is_decoded({ask(kMaxBudgetSubjectBytes + 1, 1)}));
+  CHECK_FALSE(is_decoded({ask(1, kMaxBudgetTokens + 1)}));
+  CHECK_FALSE(is_decoded({ask(1, -1)}));
+  CHECK_FALSE(is_decoded({{{static_cast<BudgetKind>(7), "x"}, 1}}));
+}
+
 TEST_CASE("bytes that are no message are rejected with an error") {
   CHECK(rc::check("any bytes are decoded or rejected", [] {
     const auto bytes =
