Keep the allotments of organisations over all hosts

An organisation could send any number of requests: nothing counted them, and hosts know neither each other nor their number.

The readers of the store issue tokens, each of an equal part of the allotment. A host takes one for each request before it chooses a server, and needs a valid one when it sends. BudgetDesk decides what to ask whom, in virtual time; BudgetClient carries the questions. Beyond the allotment a request gets 429 with Retry-After, and 503 where no reader responds.

--- a/heatherlatch/base/outcome.cc
+++ b/heatherlatch/base/outcome.cc
@@ -48,6 +48,8 @@
       return "key-withdrawn";
     case NotRunReason::kAllotmentExceeded:
       return "allotment-exceeded";
+    case NotRunReason::kAllotmentNotConfirmed:
+      return "allotment-not-confirmed";
   }
   return "not-run";
 }
--- a/heatherlatch/base/outcome.h
+++ b/heatherlatch/base/outcome.h
@@ -39,6 +39,8 @@
   kKeyNotConfirmed,    // The host cannot tell whether the key is still valid.
   kKeyWithdrawn,       // While the request waited.
   kAllotmentExceeded,  // Of the organisation, over all hosts.
+  // The host cannot tell whether the allotment is exceeded.
+  kAllotmentNotConfirmed,
 };
 
 // Why it is not known whether a request ran.
--- a/heatherlatch/fleet_budget/budget_desk.h
+++ b/heatherlatch/fleet_budget/budget_desk.h
@@ -16,8 +16,8 @@
 //   BudgetDesk desk;
 //   desk.SetIssuers({reader});
 //   desk.Acquire(key, terms, now, now + max_wait, done);
-//   for (const BudgetQuestion& question : desk.TakeQuestions(now)) Send(question);
-//   desk.OnGrants(reader, grants, now);  // Calls `done`.
+//   for (const BudgetQuestion& question : desk.TakeQuestions(now))
+//   Send(question); desk.OnGrants(reader, grants, now);  // Calls `done`.
 //
 // Thread safety: none; the caller serialises access. Reads no clock. A callback
 // may call the desk.
@@ -85,8 +85,9 @@
 
   explicit BudgetDesk(IssueOwn issue_own) : issue_own_(std::move(issue_own)) {}
 
+  // Questions to former issuers count as failed.
   // @param issuers  those other than this host
-  void SetIssuers(const std::vector<Endpoint>& issuers);
+  void SetIssuers(const std::vector<Endpoint>& issuers, TimePoint now);
 
   // Takes a token, or waits for one.
   // @param lifetime    of tokens of the key, from the question
@@ -117,8 +118,8 @@
   void OnFailure(const Endpoint& issuer, TimePoint now);
 
   // Removes expired tokens, and the state of keys that are no longer used.
-  // @return how many tokens expired
-  std::size_t RemoveExpired(TimePoint now);
+  // @return how many tokens expired, by kind
+  std::map<BudgetKind, std::size_t> RemoveExpired(TimePoint now);
 
   // @return keys of which the desk keeps a state
   std::size_t size() const { return keys_.size(); }
@@ -135,18 +136,24 @@
     void Add(double more, TimePoint now);
     double At(TimePoint now) const;
   };
+  // An issuer that is not to be asked about a key until then.
+  struct Denial {
+    TimePoint until;
+    bool knows_key = true;
+  };
   struct KeyState {
     std::deque<Waiter> waiters;
     Duration lifetime{};
-    Fading used;     // Tokens wanted by callers.
-    Fading granted;  // Tokens granted to this host.
-    std::optional<Endpoint> asked;  // The issuer with a question about it.
-    // Issuers without tokens, and until when.
-    std::map<Endpoint, TimePoint> denied_until;
-    std::set<Endpoint> unknown_to;  // Issuers that do not know the key.
-    TimePoint exhausted_until;      // Of all issuers.
-    TimePoint next_slot;            // Of the next refused request.
-    bool wants_one = false;         // A background ask of `TryAcquire`.
+    Fading used;         // Tokens wanted by callers.
+    Fading granted;      // Tokens granted to this host.
+    bool asked = false;  // A question about it is under way.
+    std::map<Endpoint, Denial> denials;
+    std::optional<Denial> own_denial;
+    bool issues_own = false;    // From the part of this host.
+    TimePoint exhausted_until;  // Of all issuers.
+    TimePoint scarce_until;     // Then tokens are not held for long.
+    TimePoint next_slot;        // Of the next refused request.
+    bool wants_one = false;     // A background ask of `TryAcquire`.
     TimePoint used_at;
   };
   struct Issuer {
@@ -163,11 +170,28 @@
   // Answers the waiters of a key that need not wait on.
   void Settle(const BudgetKey& key, KeyState* state, TimePoint now,
               Ready* ready);
+  // Answers all waiters of a key that no issuer is left to ask about.
+  void Refuse(KeyState* state, TimePoint now, Ready* ready);
+  // Answers the waiters that have waited too long.
+  void GiveUp(KeyState* state, TimePoint now, Ready* ready);
+  void NoteAnswer(const BudgetAsk& ask, const BudgetGrant* grant,
+                  const Endpoint& endpoint, TimePoint now, Ready* ready);
+  // Ends the question to an issuer without grants.
+  void EndAsks(Issuer* issuer, TimePoint now, Ready* ready);
+  // Sees to it that `TakeQuestions` is called, if the key has something to ask.
+  void Want(const BudgetKey& key, const KeyState& state, TimePoint now);
+  // @return tokens that the host should hold of the key
+  double Target(const KeyState& state, TimePoint now) const;
   // @return the issuer to ask about the key now; nothing if each was tried
   std::optional<Endpoint> IssuerFor(const KeyState& state, TimePoint now) const;
   // @return tokens to ask for now
   int Wanted(const BudgetKey& key, const KeyState& state, TimePoint now) const;
-  BudgetExhausted Refusal(KeyState* state, TimePoint now);
+  static BudgetExhausted Refusal(KeyState* state, TimePoint now);
+  // Takes the asks to be sent now out of the hungry keys.
+  std::map<Endpoint, std::vector<BudgetAsk>> GatherAsks(TimePoint now,
+                                                        Ready* ready);
+  // @return whether a question may be sent now; otherwise `next_due_` is set
+  bool MayAsk(const std::vector<BudgetAsk>& asks, TimePoint now);
   std::vector<Endpoint> NearestFirst() const;
   static void Call(const Ready& ready);
 
@@ -176,8 +200,7 @@
   std::map<BudgetKey, KeyState> keys_;
   std::set<BudgetKey> hungry_;  // With waiters or a need for a top-up.
   std::map<Endpoint, Issuer> issuers_;
-  double pace_ = 0;  // Questions that may be sent; see the source.
-  TimePoint paced_at_;
+  Fading questions_;  // Sent lately.
   TimePoint topped_up_at_;
   TimePoint next_due_ = TimePoint::max();
 };
--- a/heatherlatch/fleet_budget/fleet_budget.cc
+++ b/heatherlatch/fleet_budget/fleet_budget.cc
@@ -34,6 +34,22 @@
       std::chrono::duration<double>(std::min(seconds, kLongestSeconds)));
 }
 
+BudgetTerms TermsWithin(double per_second, double burst, double allowance,
+                        std::size_t issuers) {
+  constexpr Duration kShortestLifetime = std::chrono::milliseconds(100);
+  constexpr Duration kLongestLifetime = std::chrono::seconds(2);
+  BudgetTerms terms{per_second, burst, {}};
+  terms.token_lifetime =
+      std::clamp(LongestTokenLifetime(per_second, allowance / 2),
+                 kShortestLifetime, kLongestLifetime);
+  // The bucket of an issuer holds one token at least.
+  const double for_whole_tokens = static_cast<double>(issuers);
+  const double for_lifetime = per_second * ToSeconds(terms.token_lifetime);
+  terms.burst =
+      std::max(1.0, burst + allowance - for_lifetime - for_whole_tokens);
+  return terms;
+}
+
 double BudgetIssuer::AvailableAt(const BudgetKey& key, const BudgetTerms& part,
                                  TimePoint now) const {
   // A bucket holds one token at least, so that small parts grant any.
@@ -90,14 +106,16 @@
                   asked_at + lifetime);
 }
 
-bool BudgetHolder::TryTake(const BudgetKey& key, TimePoint now) {
+std::optional<TimePoint> BudgetHolder::Take(const BudgetKey& key,
+                                            TimePoint now) {
   const auto found = expiries_.find(key);
-  if (found == expiries_.end()) return false;
+  if (found == expiries_.end()) return std::nullopt;
   std::deque<TimePoint>& expiries = found->second;
   const auto usable = std::upper_bound(expiries.begin(), expiries.end(), now);
-  if (usable == expiries.end()) return false;
+  if (usable == expiries.end()) return std::nullopt;
+  const TimePoint expires_at = *usable;
   expiries.erase(usable);
-  return true;
+  return expires_at;
 }
 
 int BudgetHolder::Available(const BudgetKey& key, TimePoint now) const {
@@ -108,13 +126,13 @@
       expiries.end() - std::upper_bound(expiries.begin(), expiries.end(), now));
 }
 
-std::size_t BudgetHolder::RemoveExpired(TimePoint now) {
-  std::size_t removed = 0;
+std::map<BudgetKind, std::size_t> BudgetHolder::RemoveExpired(TimePoint now) {
+  std::map<BudgetKind, std::size_t> removed;
   for (auto it = expiries_.begin(); it != expiries_.end();) {
     std::deque<TimePoint>& expiries = it->second;
     while (!expiries.empty() && expiries.front() <= now) {
       expiries.pop_front();
-      ++removed;
+      ++removed[it->first.kind];
     }
     it = expiries.empty() ? expiries_.erase(it) : std::next(it);
   }
--- a/heatherlatch/fleet_budget/fleet_budget.h
+++ b/heatherlatch/fleet_budget/fleet_budget.h
@@ -26,6 +26,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "heatherlatch/base/time.h"
@@ -64,6 +65,17 @@
 //     stay within the terms and the allowance
 Duration LongestTokenLifetime(double per_second, double allowance);
 
+// Spends an allowance on the lifetime of tokens, and what is left on the burst,
+// so that requests of uneven hosts find tokens. The events in any window are
+// then at most per_second * window + burst + allowance, over all issuers.
+// @param allowance  events that a window may hold beyond the rate and burst; if
+//     it is below a tenth of a second of the rate and a token for each issuer,
+//     the burst gives way, down to one token
+// @param issuers    how many issuers share the bound
+// @return the terms over all issuers
+BudgetTerms TermsWithin(double per_second, double burst, double allowance,
+                        std::size_t issuers);
+
 // Grants tokens, as one of the issuers.
 class BudgetIssuer {
  public:
@@ -110,14 +122,20 @@
 
   // Takes a token, the one that expires first.
   // @return whether there was one
-  bool TryTake(const BudgetKey& key, TimePoint now);
+  bool TryTake(const BudgetKey& key, TimePoint now) {
+    return Take(key, now).has_value();
+  }
+
+  // Takes a token, as `TryTake` does.
+  // @return when it expires
+  std::optional<TimePoint> Take(const BudgetKey& key, TimePoint now);
 
   // @return tokens that can still be used
   int Available(const BudgetKey& key, TimePoint now) const;
 
   // Removes expired tokens.
-  // @return how many were removed
-  std::size_t RemoveExpired(TimePoint now);
+  // @return how many were removed, by kind
+  std::map<BudgetKind, std::size_t> RemoveExpired(TimePoint now);
 
  private:
   std::map<BudgetKey, std::deque<TimePoint>> expiries_;
--- a/heatherlatch/fleet_budget/fleet_budget_test.cc
+++ b/heatherlatch/fleet_budget/fleet_budget_test.cc
@@ -34,7 +34,8 @@
   CHECK(holder.Available(kKey, kStart) == 2);
   CHECK(holder.TryTake(kKey, kStart + milliseconds(999)));
   CHECK_FALSE(holder.TryTake(kKey, kStart + seconds(1)));
-  CHECK(holder.RemoveExpired(kStart + seconds(1)) == 1);
+  CHECK(holder.RemoveExpired(kStart + seconds(1)) ==
+        std::map<BudgetKind, std::size_t>{{BudgetKind::kAllotment, 1}});
   CHECK_FALSE(holder.TryTake(kKey, kStart));
 }
 
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -148,8 +148,7 @@
 }
 
 BudgetKey ToBudgetKey(const Json& entry) {
-  constexpr auto kLastKind =
-      static_cast<std::uint64_t>(BudgetKind::kAllotment);
+  constexpr auto kLastKind = static_cast<std::uint64_t>(BudgetKind::kAllotment);
   BudgetKey key;
   key.kind = static_cast<BudgetKind>(ToCount(entry.at(0), kLastKind));
   key.subject = entry.at(1).get<std::string>();
@@ -175,8 +174,8 @@
   std::vector<BudgetAsk> asks;
   if (!message.contains("budget")) return asks;
   for (const Json& entry : ToBudgetEntries(message.at("budget"))) {
-    asks.push_back({ToBudgetKey(entry), static_cast<int>(ToCount(
-                                            entry.at(2), kMaxBudgetTokens))});
+    asks.push_back({ToBudgetKey(entry),
+                    static_cast<int>(ToCount(entry.at(2), kMaxBudgetTokens))});
   }
   return asks;
 }
@@ -185,9 +184,9 @@
 Json ToJson(const std::vector<BudgetGrant>& grants) {
   Json encoded = Json::array();
   for (const BudgetGrant& grant : grants) {
-    const Duration until_next = std::clamp<Duration>(
-        grant.until_next, Duration::zero(),
-        std::chrono::milliseconds(kMaxMilliseconds));
+    const Duration until_next =
+        std::clamp<Duration>(grant.until_next, Duration::zero(),
+                             std::chrono::milliseconds(kMaxMilliseconds));
     encoded.push_back(
         {static_cast<unsigned>(grant.key.kind), grant.key.subject,
          grant.granted,
@@ -200,10 +199,9 @@
   std::vector<BudgetGrant> grants;
   if (!message.contains("grants")) return grants;
   for (const Json& entry : ToBudgetEntries(message.at("grants"))) {
-    grants.push_back(
-        {ToBudgetKey(entry),
-         static_cast<int>(ToCount(entry.at(2), kMaxBudgetTokens)),
-         ToDuration(entry.at(3))});
+    grants.push_back({ToBudgetKey(entry),
+                      static_cast<int>(ToCount(entry.at(2), kMaxBudgetTokens)),
+                      ToDuration(entry.at(3))});
   }
   return grants;
 }
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -90,8 +90,8 @@
     return ValueOf(DecodeFeedRequest(Encode(request))).has_value();
   };
   const auto ask = [](std::size_t subject_bytes, int wanted) {
-    return BudgetAsk{
-        {BudgetKind::kRetry, std::string(subject_bytes, 's')}, wanted};
+    return BudgetAsk{{BudgetKind::kRetry, std::string(subject_bytes, 's')},
+                     wanted};
   };
   CHECK(is_decoded(std::vector<BudgetAsk>(kMaxBudgetAsks, ask(256, 10'000))));
   CHECK_FALSE(
--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -17,6 +17,10 @@
                                           std::chrono::minutes(1)};
 constexpr Range<Duration> kKeyValidityRange{std::chrono::seconds(1),
                                             std::chrono::hours(24)};
+constexpr Range<Duration> kAllotmentWindowRange{std::chrono::milliseconds(100),
+                                                std::chrono::hours(1)};
+constexpr Range<double> kAllotmentOvershootRange{0, 10};
+constexpr Range<double> kAllotmentSlackRange{0, 1'000'000};
 constexpr Range<double> kRetryShareRange{0, 1};
 constexpr Range<double> kProbesRange{1, 10'000};
 constexpr Range<double> kMemoryLimitRange{32, 1'000'000};
@@ -79,6 +83,15 @@
                   &settings.probes_per_second);
   settings.key_validity =
       reader.Time("key_validity", kOptional, kKeyValidityRange);
+  AssignIfPresent(
+      reader.Time("allotment_window", kOptional, kAllotmentWindowRange),
+      &settings.allotment_window);
+  AssignIfPresent(
+      reader.Number("allotment_overshoot", kOptional, kAllotmentOvershootRange),
+      &settings.allotment_overshoot);
+  AssignIfPresent(
+      reader.Number("allotment_slack", kOptional, kAllotmentSlackRange),
+      &settings.allotment_slack);
   ReadMemoryLimit(&reader, &settings);
   reader.Finish();
   if (!context.findings.empty()) return std::move(context.findings);
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -54,6 +54,11 @@
   // still accept it, whatever they are cut off from. Absent: until they learn
   // of it.
   std::optional<Duration> key_validity;
+  // Allotments of organisations: in any window, all hosts together may run
+  // (rate * window + burst) * (1 + overshoot) + slack requests.
+  Duration allotment_window = std::chrono::seconds(5);
+  double allotment_overshoot = 0.1;
+  double allotment_slack = 0;  // Requests.
 };
 
 // @param yaml  the text of the file
--- a/heatherlatch/traffic/budget_client.h
+++ b/heatherlatch/traffic/budget_client.h
@@ -20,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "heatherlatch/fleet_budget/budget_desk.h"
@@ -45,8 +46,8 @@
 
   // Takes a token if the host holds one, or issues it from its own part.
   // Otherwise asks for one in the background, so that a later call may succeed.
-  // @return whether there was one
-  bool TryAcquire(const BudgetKey& key);
+  // @return the token, if there was one
+  std::optional<BudgetGranted> TryAcquire(const BudgetKey& key);
 
   // @return whether the token may still be used
   bool IsValid(const BudgetGranted& token) const;
@@ -67,6 +68,9 @@
     std::unique_ptr<boost::asio::steady_timer> timeout;
   };
 
+  // @return the time by which tokens expire. It counts suspensions
+  static TimePoint Now();
+  std::optional<BudgetGrant> IssueOne(const BudgetKey& key, int wanted);
   bool IsReader() const;
   // Takes over the readers of the settings.
   void UpdateReaders();
@@ -78,6 +82,7 @@
   void Record(const Endpoint& issuer, const std::vector<BudgetGrant>& grants);
 
   TrafficContext* context_;
+  std::optional<BudgetIssuer> issuer_;  // If this host is a reader.
   BudgetDesk desk_;
   std::vector<Endpoint> readers_;  // Those that `desk_` knows.
   std::map<Endpoint, Line> lines_;
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -29,6 +29,10 @@
 constexpr double kHedgeDelayFactor = 1.6;
 constexpr Duration kHedgeDelayMargin = std::chrono::milliseconds(15);
 
+// The part of the latency target of its route for which a request waits for a
+// token of its allotment.
+constexpr double kMaxAllotmentWaitShare = 0.5;
+
 // Failed connections after which a request is refused. More than the servers of
 // a rack that fail at the same time.
 constexpr int kMaxConnectFailures = 4;
@@ -129,7 +133,70 @@
     RefuseAsNotRun(NotRunReason::kDeadlineTooShort, kRetryAfter);
     return;
   }
-  SelectServer(SendKind::kPrimary);
+  SelectServerWithinAllotment();
+}
+
+bool Exchange::NeedsAllotment() const {
+  return organisation_ && organisation_->requests_per_second > 0 &&
+         !may_have_run_ && attempts_.empty();
+}
+
+bool Exchange::TryTakeAllotment() {
+  if (!NeedsAllotment()) return true;
+  if (token_ && context_->budget->IsValid(*token_)) return true;
+  token_ = context_->budget->TryAcquire(allotment());
+  token_used_ = false;
+  return token_.has_value();
+}
+
+void Exchange::SelectServerWithinAllotment() {
+  if (!NeedsAllotment()) {
+    SelectServer(SendKind::kPrimary);
+    return;
+  }
+  const Duration max_wait = std::min(
+      TimeLeft(), Scale(route_->latency_target, kMaxAllotmentWaitShare));
+  context_->budget->Acquire(
+      allotment(), max_wait,
+      [self = shared_from_this()](const BudgetAnswer& answer) {
+        self->OnAllotment(answer);
+      });
+}
+
+void Exchange::OnAllotment(const BudgetAnswer& answer) {
+  struct Visitor {
+    Exchange* exchange;
+    void operator()(const BudgetGranted& token) const {
+      exchange->token_ = token;
+      exchange->token_used_ = false;
+      if (exchange->finished_) {
+        exchange->ReturnAllotment();
+      } else {
+        exchange->SelectServer(SendKind::kPrimary);
+      }
+    }
+    void operator()(const BudgetExhausted& exhausted) const {
+      if (exchange->finished_) return;
+      exchange->RefuseBeyondAllotment(exhausted.retry_after);
+    }
+    void operator()(const BudgetUnreachable&) const {
+      if (exchange->finished_) return;
+      exchange->RefuseAsNotRun(NotRunReason::kAllotmentNotConfirmed,
+                               kRetryAfter);
+    }
+  };
+  std::visit(Visitor{this}, answer);
+}
+
+void Exchange::RefuseBeyondAllotment(Duration retry_after) {
+  RespondLocally(kTooManyRequests, "refused",
+                 ToString(NotRunReason::kAllotmentExceeded), retry_after);
+}
+
+void Exchange::ReturnAllotment() {
+  if (!token_ || token_used_) return;
+  context_->budget->Return(allotment(), *token_);
+  token_.reset();
 }
 
 bool Exchange::Identify() {
@@ -473,6 +540,12 @@
     }
     return;
   }
+  if (!TryTakeAllotment()) {
+    queue().Leave(queue_id_);
+    SelectServerWithinAllotment();
+    return;
+  }
+  token_used_ = true;
   const TimePoint now = SteadyClock::now();
   const ServerRecord& server = candidate.server;
   auto attempt = std::make_shared<Attempt>();
@@ -799,6 +872,7 @@
   finished_ = true;
   EndAdmission();
   StopTimersAndAttempts();
+  ReturnAllotment();
   const Duration total = Elapsed();
   context_->metrics.Count("requests", outcome);
   context_->metrics.request_time.Observe(total);
@@ -833,6 +907,7 @@
   finished_ = true;
   EndAdmission();
   StopTimersAndAttempts();
+  ReturnAllotment();
   done_ = nullptr;
   context_->metrics.Count("requests", "abandoned");
   context_->log.Write("caller-gone",
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -27,6 +27,7 @@
 
 #include "heatherlatch/base/outcome.h"
 #include "heatherlatch/steering/placement_decision.h"
+#include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/configuration_basis.h"
 #include "heatherlatch/traffic/load_prober.h"
 #include "heatherlatch/traffic/server_search.h"
@@ -109,6 +110,21 @@
   // Checks the key again if the configuration has changed since.
   // @return whether the request may be sent to a server now
   bool MayStillUseKey();
+  // @return whether the request needs a token of the allotment of its
+  //     organisation to be sent: no server can have run it yet
+  bool NeedsAllotment() const;
+  // Takes a token at once, if the host holds one.
+  // @return whether the request may be sent now, as far as allotments go
+  bool TryTakeAllotment();
+  // Takes a token or waits for one, and then searches for a server.
+  void SelectServerWithinAllotment();
+  void OnAllotment(const BudgetAnswer& answer);
+  void RefuseBeyondAllotment(Duration retry_after);
+  // Gives back the token of a request that was not sent.
+  void ReturnAllotment();
+  BudgetKey allotment() const {
+    return {BudgetKind::kAllotment, organisation_->name.str()};
+  }
   // @return whether a server in the zone may receive the request
   bool MayBeServedIn(const ZoneName& zone) const {
     return context_->IsInHomeRegion(*route_, organisation(), zone);
@@ -218,6 +234,10 @@
   const TrafficRoute* route_ = nullptr;
   // A copy: a newer configuration may change it while the request waits.
   std::optional<TrafficOrganisation> organisation_;
+  // Of the allotment of the organisation. While it is valid, it covers every
+  // send until a server can have run the request.
+  std::optional<BudgetGranted> token_;
+  bool token_used_ = false;
   std::uint64_t key_checked_in_ = 0;  // Version of the configuration.
   ServiceName service_;
   ContentDigest digest_ = 0;
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/peer_requests.h"
 #include "heatherlatch/traffic/suspension.h"
@@ -445,6 +446,12 @@
           respond({kOk, Encode(IssueColdPermits(query.cold_servers, now))});
           return {};
         }
+        if (!query.budget_asks.empty()) {
+          FeedResponse response;
+          response.budget_grants = context_->budget->Issue(query.budget_asks);
+          respond({kOk, Encode(response)});
+          return {};
+        }
         choice_.OnRequestFrom(query.requester, now);
         MergeSuspects(query.suspects);
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -186,6 +186,23 @@
   return cold_permits.Has(server.name, now);
 }
 
+std::optional<BudgetTerms> TrafficContext::TermsOf(const BudgetKey& key) const {
+  if (!routes || key.kind != BudgetKind::kAllotment) return std::nullopt;
+  const TrafficOrganisation* organisation =
+      routes->organisations.Find(OrganisationName(key.subject));
+  if (organisation == nullptr || organisation->requests_per_second <= 0) {
+    return std::nullopt;
+  }
+  const double rate = organisation->requests_per_second;
+  const double in_window =
+      rate * std::chrono::duration<double>(settings.allotment_window).count() +
+      organisation->burst;
+  return TermsWithin(
+      rate, organisation->burst,
+      settings.allotment_overshoot * in_window + settings.allotment_slack,
+      std::max<std::size_t>(settings.seeds.size(), 1));
+}
+
 RegionName TrafficContext::RegionOf(const ZoneName& zone) const {
   const auto found = settings.zones.find(zone);
   return found == settings.zones.end() ? RegionName() : found->second;
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -21,6 +21,7 @@
 #include "heatherlatch/admission/token_bucket.h"
 #include "heatherlatch/fleet/server_directory.h"
 #include "heatherlatch/fleet/server_observations.h"
+#include "heatherlatch/fleet_budget/fleet_budget.h"
 #include "heatherlatch/routing/route_table.h"
 #include "heatherlatch/routing/table_confirmation.h"
 #include "heatherlatch/settings/traffic_host_settings.h"
@@ -33,6 +34,7 @@
 
 namespace heatherlatch {
 
+class BudgetClient;
 class ServiceQueue;
 
 class TrafficContext {
@@ -90,6 +92,10 @@
   //     not, and the server is in the host's region, a permit is asked for
   bool MaySendDuringColdStart(const ServerRecord& server, TimePoint now) const;
 
+  // @return the terms of a bound over all hosts; nothing if the configuration
+  //     states no such bound
+  std::optional<BudgetTerms> TermsOf(const BudgetKey& key) const;
+
   Distance DistanceTo(const ZoneName& zone) const;
   // @return whether the zone is in a home region of the route and of the
   //     organisation, so that it may serve the request
@@ -117,6 +123,8 @@
   ColdStartPermits cold_permits;
   // Asks for a permit.
   std::function<void(const BackendServerName&)> want_cold_permit;
+  // Acquires tokens of the bounds that all hosts keep together.
+  BudgetClient* budget = nullptr;
   // Reports a content that crashed a server to other hosts.
   std::function<void(const SuspectNotice&)> share_suspect;
   DecisionLog log;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -52,6 +52,7 @@
       load_settings_(std::move(load_settings)),
       prober_(&context_),
       cold_permit_client_(&context_),
+      budget_client_(&context_),
       feed_(&context_,
             [this](const std::vector<PublishedItem>& items,
                    const ItemOrigin& origin) {
@@ -63,6 +64,7 @@
       maintenance_timer_(*io),
       stop_timer_(*io),
       suspended_(TotalSuspension()) {
+  context_.budget = &budget_client_;
   context_.share_suspect = [this](const SuspectNotice& notice) {
     feed_.ShareSuspect(notice);
   };
@@ -186,6 +188,7 @@
   context_.observations.RemoveStale(kObservationRetention, now);
   context_.cold_permits.RemoveStale(kColdStartRetention, now);
   context_.suspects.Expire(now);
+  budget_client_.RemoveExpired();
   for (auto it = callers_.begin(); it != callers_.end();) {
     const std::shared_ptr<CallerConnection> caller = it->lock();
     if (caller) caller->CheckTimeouts(now);
@@ -220,6 +223,9 @@
   context_.settings.stop_wait = settings->stop_wait;
   context_.settings.memory_limit_bytes = settings->memory_limit_bytes;
   context_.settings.key_validity = settings->key_validity;
+  context_.settings.allotment_window = settings->allotment_window;
+  context_.settings.allotment_overshoot = settings->allotment_overshoot;
+  context_.settings.allotment_slack = settings->allotment_slack;
   context_.ApplyMemoryLimit();
   feed_.Reconfigure();
 }
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/caller_connection.h"
 #include "heatherlatch/traffic/cold_permit_client.h"
 #include "heatherlatch/traffic/published_feed.h"
@@ -89,6 +90,7 @@
   LoadSettings load_settings_;
   LoadProber prober_;
   ColdPermitClient cold_permit_client_;
+  BudgetClient budget_client_;
   PublishedFeed feed_;
   std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
   // For readiness, metrics and queries of other hosts.
