--- a/heatherlatch/fleet_budget/budget_desk.cc
+++ b/heatherlatch/fleet_budget/budget_desk.cc
@@ -103,11 +103,6 @@
       done(*token);
       return;
     }
-    if (now < state.exhausted_until) {
-      const BudgetAnswer refusal = Refusal(&state, now);
-      done(refusal);
-      return;
-    }
   }
   state.waiters.push_back({give_up_at, std::move(done)});
   Ready ready;
--- a/heatherlatch/fleet_budget/budget_desk_test.cc
+++ b/heatherlatch/fleet_budget/budget_desk_test.cc
@@ -315,6 +315,28 @@
   CHECK_FALSE(desk.TryAcquire(kKey, seconds(1), kStart));
 }
 
+// Guards against a host that spends in one moment what it gathered over time.
+TEST_CASE("tokens held for demand that ended expire with their lifetime") {
+  BudgetDesk desk([](const BudgetKey&, int) { return std::nullopt; });
+  const Endpoint issuer{"10.0.0.1", 1};
+  desk.SetIssuers({issuer}, kStart);
+  TimePoint now = kStart;
+  int granted = 0;
+  for (int i = 0; i < 100; ++i, now += milliseconds(10)) {
+    desk.Acquire(kKey, seconds(1), now, now + seconds(1),
+                 [](const BudgetAnswer&) {});
+    for (const BudgetQuestion& question : desk.TakeQuestions(now)) {
+      const int wanted = question.asks.at(0).wanted;
+      granted += wanted;
+      desk.OnGrants(issuer, {{kKey, wanted, {}}}, now);
+    }
+  }
+  REQUIRE(granted > 110);
+  CHECK(desk.TryAcquire(kKey, seconds(1), now));
+  CHECK_FALSE(desk.TryAcquire(kKey, seconds(1), now + seconds(1)));
+  CHECK(desk.RemoveExpired(now + seconds(1))[BudgetKind::kAllotment] > 5);
+}
+
 TEST_CASE("an issuer that does not know a key is not one that denied it") {
   BudgetDesk desk([](const BudgetKey&, int) { return std::nullopt; });
   const Endpoint issuer{"10.0.0.1", 1};
