Spend what an allotment may exceed on the rate too

A bucket with the bare rate refuses what the published window allows. A quarter of the allowance now goes to the lifetime of tokens, the rest half to the burst and half to the rate; three quarters to the rate refused 5 of 207 at four requests a second in budget_desk_test.

fleet_budget_test passes.

--- a/heatherlatch/fleet_budget/budget_desk_test.cc
+++ b/heatherlatch/fleet_budget/budget_desk_test.cc
@@ -36,7 +36,7 @@
  public:
   Fleet(const Conditions& conditions, unsigned seed)
       : conditions_(conditions),
-        terms_(TermsWithin(conditions.rate, conditions.burst,
+        terms_(TermsWithin(conditions.rate, conditions.burst, kWindow,
                            conditions.allowance, kReaders)),
         rng_(seed) {
     for (std::size_t i = 0; i < conditions.hosts + kReaders; ++i) AddHost(i);
--- a/heatherlatch/fleet_budget/fleet_budget.cc
+++ b/heatherlatch/fleet_budget/fleet_budget.cc
@@ -34,19 +34,24 @@
       std::chrono::duration<double>(std::min(seconds, kLongestSeconds)));
 }
 
-BudgetTerms TermsWithin(double per_second, double burst, double allowance,
-                        std::size_t issuers) {
+BudgetTerms TermsWithin(double per_second, double burst, Duration window,
+                        double allowance, std::size_t issuers) {
   constexpr Duration kShortestLifetime = std::chrono::milliseconds(100);
   constexpr Duration kLongestLifetime = std::chrono::seconds(2);
-  BudgetTerms terms{per_second, burst, {}};
+  constexpr double kLifetimeShare = 0.25;
+  constexpr double kRateShare = 0.5;  // Of the rest.
+  BudgetTerms terms;
   terms.token_lifetime =
-      std::clamp(LongestTokenLifetime(per_second, allowance / 2),
+      std::clamp(LongestTokenLifetime(per_second, kLifetimeShare * allowance),
                  kShortestLifetime, kLongestLifetime);
+  const double span = ToSeconds(window + terms.token_lifetime);
   // The bucket of an issuer holds one token at least.
   const double for_whole_tokens = static_cast<double>(issuers);
   const double for_lifetime = per_second * ToSeconds(terms.token_lifetime);
-  terms.burst =
-      std::max(1.0, burst + allowance - for_lifetime - for_whole_tokens);
+  const double rest = allowance - for_lifetime - for_whole_tokens;
+  const double for_rate = std::max(0.0, kRateShare * rest);
+  terms.per_second = per_second + for_rate / span;
+  terms.burst = std::max(1.0, burst + rest - for_rate);
   return terms;
 }
 
--- a/heatherlatch/fleet_budget/fleet_budget.h
+++ b/heatherlatch/fleet_budget/fleet_budget.h
@@ -65,16 +65,19 @@
 //     stay within the terms and the allowance
 Duration LongestTokenLifetime(double per_second, double allowance);
 
-// Spends an allowance on the lifetime of tokens, and what is left on the burst,
-// so that requests of uneven hosts find tokens. The events in any window are
-// then at most per_second * window + burst + allowance, over all issuers.
+// Spends an allowance: a quarter on the lifetime of tokens, and what is left
+// half on the burst and half on the rate. A bucket with the bare rate
+// would refuse callers that use rate and burst in each window evenly. The
+// events in any window are at most per_second * window + burst + allowance,
+// over all issuers.
+// @param window     over which the events are counted; above zero
 // @param allowance  events that a window may hold beyond the rate and burst; if
 //     it is below a tenth of a second of the rate and a token for each issuer,
 //     the burst gives way, down to one token
 // @param issuers    how many issuers share the bound
 // @return the terms over all issuers
-BudgetTerms TermsWithin(double per_second, double burst, double allowance,
-                        std::size_t issuers);
+BudgetTerms TermsWithin(double per_second, double burst, Duration window,
+                        double allowance, std::size_t issuers);
 
 // Grants tokens, as one of the issuers.
 class BudgetIssuer {
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -198,7 +198,7 @@
       rate * std::chrono::duration<double>(settings.allotment_window).count() +
       organisation->burst;
   return TermsWithin(
-      rate, organisation->burst,
+      rate, organisation->burst, settings.allotment_window,
       settings.allotment_overshoot * in_window + settings.allotment_slack,
       std::max<std::size_t>(settings.seeds.size(), 1));
 }
--- a/programs/explain/explanation.cc
+++ b/programs/explain/explanation.cc
@@ -73,6 +73,8 @@
       {"key-withdrawn", "its key was taken away while it waited"},
       {"allotment-exceeded",
        "its organisation had used the requests that it is allotted"},
+      {"allotment-not-confirmed",
+       "the host reached no reader that issues the allotment in time"},
       {"suspected-of-crashing-servers",
        "servers crashed while they ran this content"},
   };
