Send a share of requests out of a zone that is short of servers

Requests of a zone without room waited for their own zone's servers: only the one request of a queue that searched widened its search, and nothing kept what the servers elsewhere had free.

A host now keeps the room of each service in each zone from the load readings that it receives anyway (RoomMap), and decides which share of the requests of a route begins its search in other zones or regions (ZoneOverflow). The setting zone_overflow switches it on and holds its prices.

--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -21,6 +21,10 @@
 constexpr Range<double> kProbesRange{1, 10'000};
 constexpr Range<double> kMemoryLimitRange{32, 1'000'000};
 constexpr double kBytesPerMegabyte = 1'000'000;
+constexpr double kBytesPerGigabyte = 1e9;
+constexpr Range<double> kPriceRange{0, 1e12};
+// A missed target that costs nothing is no reason to leave a zone.
+constexpr Range<double> kMissPriceRange{1e-12, 1e12};
 
 void ReadMemoryLimit(MappingReader* reader, TrafficHostSettings* settings) {
   const std::optional<double> megabytes =
@@ -44,6 +48,24 @@
   }
 }
 
+void ReadZoneOverflow(MappingReader* parent, ReadContext* context,
+                      TrafficHostSettings* settings) {
+  const std::optional<YAML::Node> node =
+      parent->Mapping("zone_overflow", kOptional);
+  if (!node) return;
+  MappingReader reader(*node, "zone_overflow", context);
+  const auto zones = reader.Number("price_per_gigabyte_between_zones",
+                                   kRequired, kPriceRange);
+  const auto regions = reader.Number("price_per_gigabyte_between_regions",
+                                     kRequired, kPriceRange);
+  const auto missed =
+      reader.Number("price_per_missed_target", kRequired, kMissPriceRange);
+  reader.Finish();
+  if (!zones || !regions || !missed) return;
+  settings->zone_overflow = OverflowPrices{
+      *zones / kBytesPerGigabyte, *regions / kBytesPerGigabyte, *missed};
+}
+
 }  // namespace
 
 std::variant<TrafficHostSettings, std::vector<Finding>> ReadTrafficHostSettings(
@@ -80,6 +102,7 @@
   settings.key_validity =
       reader.Time("key_validity", kOptional, kKeyValidityRange);
   ReadMemoryLimit(&reader, &settings);
+  ReadZoneOverflow(&reader, &context, &settings);
   reader.Finish();
   if (!context.findings.empty()) return std::move(context.findings);
   return settings;
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -19,6 +19,7 @@
 #include "heatherlatch/base/name.h"
 #include "heatherlatch/base/time.h"
 #include "heatherlatch/objects/check.h"
+#include "heatherlatch/zone_room/zone_overflow.h"
 
 namespace heatherlatch {
 
@@ -54,6 +55,10 @@
   // still accept it, whatever they are cut off from. Absent: until they learn
   // of it.
   std::optional<Duration> key_validity;
+  // Prices by which the host decides which share of its requests leaves its
+  // zone. Absent: no share does, and only requests without a server in time
+  // look for one farther away.
+  std::optional<OverflowPrices> zone_overflow;
 };
 
 // @param yaml  the text of the file
--- a/heatherlatch/steering/steering.cc
+++ b/heatherlatch/steering/steering.cc
@@ -34,23 +34,21 @@
   return factor * (1 + service_times_to_wait);
 }
 
-double CrossZoneCostFactor(Distance distance) {
+double CrossingPrice(Distance distance, const CrossingPrices& prices) {
   switch (distance) {
     case Distance::kSameZone:
       return 0;
     case Distance::kSameRegion:
-      return 1;
+      return prices.between_zones;
     case Distance::kOtherRegion:
-      return kCrossRegionCostFactor;
+      return prices.between_regions;
   }
-  return kCrossRegionCostFactor;
+  return prices.between_regions;
 }
 
 Duration CrossZoneCost(Distance distance, const ExpectedWork& work) {
-  const double latency_targets = CrossZoneCostFactor(distance) *
-                                 work.response_bytes /
-                                 kCrossZoneBytesPerLatencyTarget;
-  return Scale(work.latency_target, latency_targets);
+  return Scale(work.latency_target,
+               CrossingPrice(distance, work.crossing) * work.response_bytes);
 }
 
 // The cost of a candidate if it is idle and runs at its usual speed.
@@ -82,6 +80,18 @@
 
 }  // namespace
 
+std::string_view ToString(Distance distance) {
+  switch (distance) {
+    case Distance::kSameZone:
+      return "zone";
+    case Distance::kSameRegion:
+      return "region";
+    case Distance::kOtherRegion:
+      return "other-region";
+  }
+  return "other-region";
+}
+
 bool IsInOtherRegion(const Candidate& candidate) {
   return candidate.distance == Distance::kOtherRegion;
 }
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -30,6 +30,9 @@
 // Location of a backend server relative to the host.
 enum class Distance { kSameZone, kSameRegion, kOtherRegion };
 
+// @return the name of the distance in metrics
+std::string_view ToString(Distance distance);
+
 // A backend server that a request may be sent to.
 struct Candidate {
   ServerRecord server;
@@ -43,12 +46,26 @@
   int sent_since_reading = 0;          // By this host, not in the reading.
 };
 
+// Size of a response whose transfer between zones costs as much as one latency
+// target of delay, unless the settings state prices.
+inline constexpr double kCrossZoneBytesPerLatencyTarget = 100'000;
+// The same for transfers between regions, relative to those between zones.
+inline constexpr double kCrossRegionCostFactor = 3.0;
+
+// What a byte of a response costs that crosses, in latency targets of delay.
+struct CrossingPrices {
+  double between_zones = 1 / kCrossZoneBytesPerLatencyTarget;
+  double between_regions =
+      kCrossRegionCostFactor / kCrossZoneBytesPerLatencyTarget;
+};
+
 // Expected cost of serving a request.
 struct ExpectedWork {
   Duration service_time{};  // On an idle server at its usual speed.
   double response_bytes = 0;
   Duration latency_target{};      // Unit in which cross-zone traffic is priced.
   double nearly_full_factor = 1;  // Slowdown on a nearly full server.
+  CrossingPrices crossing;
 };
 
 // @return whether sending to the candidate crosses regions
@@ -88,13 +105,6 @@
 // Slowdown of a server in cold start, as in the users' site files.
 inline constexpr double kColdStartSlowdown = 2.0;
 
-// Size of a response whose transfer between zones costs as much as one latency
-// target of delay, at the users' prices for traffic between zones.
-inline constexpr double kCrossZoneBytesPerLatencyTarget = 100'000;
-// Price of traffic between regions, relative to traffic between zones, as the
-// users pay it.
-inline constexpr double kCrossRegionCostFactor = 3.0;
-
 // @return the network round trip to a server
 Duration RoundTrip(Distance distance);
 
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -260,7 +260,7 @@
   const Duration delay = context_->loop_delay.delay();
   if (delay == Duration::zero()) return false;
   return TimeLeft() <=
-         2 * delay + context_->statistics.Expect(*route_).service_time;
+         2 * delay + Work().service_time;
 }
 
 std::vector<Candidate> Exchange::Eligible() const {
@@ -284,9 +284,30 @@
   return eligible;
 }
 
+ExpectedWork Exchange::Work() const {
+  ExpectedWork work = context_->statistics.Expect(*route_);
+  if (const auto& prices = context_->settings.zone_overflow) {
+    work.crossing = {prices->byte_between_zones / prices->missed_target,
+                     prices->byte_between_regions / prices->missed_target};
+  }
+  return work;
+}
+
+SearchScope Exchange::FirstScope() {
+  if (isolated_) return SearchScope::kNearest;
+  if (drawn_scope_) return *std::exchange(drawn_scope_, std::nullopt);
+  return context_->overflow.Draw({service_, *route_, Work(), Body().size(),
+                                  queue().empty()
+                                      ? Duration::zero()
+                                      : queue()
+                                            .DrainTime(SteadyClock::now())
+                                            .value_or(State().service_time)},
+                                 SteadyClock::now());
+}
+
 PlacementState Exchange::State() const {
   return {Elapsed(), route_->latency_target, TimeForServer(),
-          context_->statistics.Expect(*route_).service_time};
+          Work().service_time};
 }
 
 Duration Exchange::TimeForServer() const {
@@ -309,6 +330,11 @@
     StartSearch(send_kind, [this](const FoundServers& found) { Place(found); });
   } else {
     Wait(std::nullopt);
+    if (finished_ || sends_ > 0) return;
+    const SearchScope scope = FirstScope();
+    if (scope == SearchScope::kNearest) return;
+    drawn_scope_ = scope;
+    queue().SearchBeyondZone(queue_id_);
   }
 }
 
@@ -317,8 +343,9 @@
     search_ = std::make_shared<ServerSearch>(
         context_, prober_,
         SearchSubject{service_, [this] { return Eligible(); },
-                      [this] { return context_->statistics.Expect(*route_); },
-                      [this] { return State(); }, isolated_});
+                      [this] { return Work(); },
+                      [this] { return State(); }, isolated_,
+                      [this] { return FirstScope(); }});
   }
   search_->Start(send_kind == SendKind::kPrimary,
                  [weak = weak_from_this(),
@@ -339,7 +366,7 @@
                                          });
   if (isolated_) KeepIdle(&candidates);
   const std::optional<Choice> choice =
-      ChooseServer(candidates, context_->statistics.Expect(*route_));
+      ChooseServer(candidates, Work());
   PlacementState state = State();
   state.unreachable = unreachable;
   const PlacementDecision decision =
@@ -372,7 +399,7 @@
            !MayBeServedIn(candidate.server.zone);
   });
   RefreshCandidates(*context_, &offered, SteadyClock::now());
-  const ExpectedWork work = context_->statistics.Expect(*route_);
+  const ExpectedWork work = Work();
   boost::remove_erase_if(offered, [&](const Candidate& candidate) {
     return IsInOtherRegion(candidate) && !MayCrossRegions(work);
   });
@@ -455,7 +482,7 @@
 
 void Exchange::PlaceHedge(const std::vector<Candidate>& candidates) {
   const std::optional<Choice> choice =
-      ChooseServer(candidates, context_->statistics.Expect(*route_));
+      ChooseServer(candidates, Work());
   const bool meets_target =
       choice && choice->occupancy != Occupancy::kQueued &&
       Elapsed() + choice->expected + kCallerRoundTrip <= route_->latency_target;
@@ -489,6 +516,7 @@
     context_->metrics.placement_time.Observe(now - request_.read_at);
   }
   context_->observations.OnSent(server.name, now);
+  context_->metrics.Count("sends_by_distance", ToString(candidate.distance));
   context_->cold_permits.Use(server.name);
   context_->ProbeBudgetFor(service_).OnSent(now);
   queue().Leave(queue_id_);
@@ -611,8 +639,8 @@
       ClassifyResponse(status, fields, request_.request_id);
   if (fields.load) {
     const bool counts_itself = !std::holds_alternative<NotExecuted>(proof);
-    context_->observations.OnReading(
-        attempt->server.name,
+    context_->RecordReading(
+        attempt->server,
         counts_itself ? WithoutOneRequest(*fields.load) : *fields.load, now);
   }
   if (const auto* not_trusted = std::get_if<NotTrusted>(&proof)) {
@@ -683,6 +711,10 @@
 void Exchange::OnNotRun(const AttemptPtr& attempt, unsigned status,
                         bool had_room) {
   context_->observations.OnFailure(attempt->server.name, SteadyClock::now());
+  if (!had_room) {
+    context_->rooms.OnRefusal(service_, attempt->server.zone,
+                              SteadyClock::now());
+  }
   context_->log.Write("shed-by-server",
                       {{"request", request_.request_id},
                        {"server", attempt->server.name.str()},
@@ -729,6 +761,8 @@
         attempt->slowdown, attempt->occupancy, relayed.body.size());
     context_->metrics.server_time.Observe(service_time);
   }
+  context_->metrics.Count("response_bytes_by_distance",
+                          ToString(attempt->distance), relayed.body.size());
   context_->metrics.CountResponse(ResponseOrigin::kServer, relayed.status);
   Finish(std::move(relayed), "answered", attempt->server.name.str());
 }
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -137,6 +137,10 @@
   void StartSearch(SendKind send_kind, ServerSearch::Done done);
   std::vector<Candidate> Eligible() const;
   PlacementState State() const;
+  // @return what the request is expected to take, at the prices of the settings
+  ExpectedWork Work() const;
+  // @return where its next search begins
+  SearchScope FirstScope();
   // Sends, defers or refuses the request according to its own search.
   // @return whether it was sent
   bool Place(const FoundServers& found);
@@ -231,6 +235,8 @@
       0;  // Replies to crash probes of earlier ones are ignored.
   std::shared_ptr<ServerSearch> search_;
   std::uint64_t queue_id_ = 0;  // 0: it has not waited.
+  // Of a search that is about to start.
+  std::optional<SearchScope> drawn_scope_;
 
   std::vector<AttemptPtr> attempts_;  // In progress.
   std::set<BackendServerName> tried_;
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -87,7 +87,7 @@
   LoadReply reply;
   reply.health = status == kOk ? Health::kHealthy : Health::kUnhealthy;
   reply.reading = fields.load;
-  if (fields.load) context_->observations.OnReading(name, *fields.load, now);
+  if (fields.load) context_->RecordReading(probe.server, *fields.load, now);
   context_->observations.OnColdRemaining(name, fields.cold_remaining, now);
   reply.cold = fields.cold_remaining > Duration::zero();
   return reply;
--- a/heatherlatch/traffic/server_search.cc
+++ b/heatherlatch/traffic/server_search.cc
@@ -75,6 +75,9 @@
   std::vector<Candidate> eligible = subject_.eligible();
   context_->ProbeBudgetFor(subject_.service)
       .SetServers(eligible.size(), MeanOutstanding(eligible));
+  began_beyond_zone_ = StartBeyondZone();
+  if (began_beyond_zone_) return;
+  scope_ = SearchScope::kNearest;
   std::vector<Candidate> drawn =
       DrawCandidates(std::move(eligible), kCandidatesDrawn, &context_->rng);
   const bool in_other_region = !drawn.empty() && IsInOtherRegion(drawn.front());
@@ -83,6 +86,20 @@
         in_other_region ? kProbeTimeoutBetweenRegions : kProbeTimeoutInRegion);
 }
 
+bool ServerSearch::StartBeyondZone() {
+  if (!wide_ || !subject_.first_scope) return false;
+  scope_ = subject_.first_scope();
+  if (scope_ == SearchScope::kNearest) return false;
+  std::vector<Candidate> drawn = DrawCandidates(
+      FartherServers(scope_), kCandidatesDrawn, &context_->rng);
+  if (drawn.empty()) return false;
+  began_beyond_zone_ = true;
+  Probe(std::move(drawn), scope_ == SearchScope::kEverywhere
+                              ? kProbeTimeoutBetweenRegions
+                              : kProbeTimeoutInRegion);
+  return true;
+}
+
 void ServerSearch::Cancel() {
   ++round_;
   timer_.cancel();
@@ -92,6 +109,11 @@
 
 std::optional<LoadReading> ServerSearch::KnownReading(
     const Candidate& candidate) const {
+  // The reply to a probe of another region would be half as old when the
+  // request arrives.
+  if (began_beyond_zone_ && IsInOtherRegion(candidate)) {
+    return ReadingOfWarmServer(candidate, kRoundTripBetweenRegions);
+  }
   // On a host that is behind, the reply to a probe is as old as the delay when
   // it is read.
   return context_->observations.Reading(
@@ -290,7 +312,9 @@
     return false;
   }
   probed_left_out_ = true;
-  Probe(std::exchange(left_out_, {}), kProbeTimeoutInRegion);
+  const bool far = began_beyond_zone_ && scope_ == SearchScope::kEverywhere;
+  Probe(std::exchange(left_out_, {}),
+        far ? kProbeTimeoutBetweenRegions : kProbeTimeoutInRegion);
   return true;
 }
 
--- a/heatherlatch/traffic/server_search.h
+++ b/heatherlatch/traffic/server_search.h
@@ -33,6 +33,8 @@
   std::function<ExpectedWork()> work;
   std::function<PlacementState()> state;
   bool needs_idle_server = false;
+  // Where a wide search begins; absent: at the nearest servers.
+  std::function<SearchScope()> first_scope = nullptr;
 };
 
 struct FoundServers {
@@ -87,6 +89,9 @@
   void OnReply(std::size_t round, std::size_t index, const LoadReply& reply);
   // Ends the search, or widens it.
   void Conclude();
+  // Begins with the servers of `scope_` instead of the nearest ones.
+  // @return whether there are any
+  bool StartBeyondZone();
   std::optional<Choice> BestSoFar() const;
   // Probes servers that the budget left out at first, if none of those probed
   // has room and meets the latency target.
@@ -109,6 +114,7 @@
   bool probed_left_out_ = false;
   std::size_t replies_missing_ = 0;
   SearchScope scope_ = SearchScope::kNearest;
+  bool began_beyond_zone_ = false;
 };
 
 // Updates what the host itself knows of the candidates, and removes those that
--- a/heatherlatch/traffic/service_queue.cc
+++ b/heatherlatch/traffic/service_queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/range/algorithm_ext/erase.hpp>
 #include <utility>
 
 #include "heatherlatch/traffic/traffic_context.h"
@@ -32,6 +33,7 @@
   waiting_.Remove(id);
   waiters_.erase(id);
   searched_.erase(id);
+  beyond_zone_.erase(id);
   if (searcher_ == id) searcher_ = 0;
 }
 
@@ -49,8 +51,21 @@
   Offer({{*candidate}, false}, 0);
 }
 
-void ServiceQueue::Offer(const FoundServers& found, std::uint64_t searcher) {
+void ServiceQueue::SearchBeyondZone(std::uint64_t id) {
+  const auto position = waiters_.find(id);
+  if (position == waiters_.end() || id == searcher_) return;
+  beyond_zone_.insert(id);
+  // A copy: the request may leave the queue while it searches.
+  const Waiter waiter = position->second;
+  waiter.search([this, id](const FoundServers& found) {
+    if (beyond_zone_.erase(id) > 0) Offer(found, id, 1);
+  });
+}
+
+void ServiceQueue::Offer(const FoundServers& found, std::uint64_t searcher,
+                         std::size_t most) {
   int declines = 0;
+  std::size_t sent = 0;
   for (const std::uint64_t id : waiting_.Order(SteadyClock::now())) {
     const auto position = waiters_.find(id);
     if (position == waiters_.end()) continue;
@@ -58,6 +73,7 @@
     const Waiter waiter = position->second;
     const bool placed = waiter.place(found, id == searcher);
     declines = placed ? 0 : declines + 1;
+    if (placed && ++sent >= most) return;
   }
 }
 
@@ -99,7 +115,10 @@
 
 void ServiceQueue::Search() {
   if (searcher_ != 0 || waiting_.empty()) return;
-  const std::vector<std::uint64_t> order = waiting_.Order(SteadyClock::now());
+  std::vector<std::uint64_t> order = waiting_.Order(SteadyClock::now());
+  boost::remove_erase_if(
+      order, [this](std::uint64_t id) { return beyond_zone_.count(id) > 0; });
+  if (order.empty()) return;
   auto next = std::find_if(
       order.begin(), order.end(),
       [this](std::uint64_t id) { return searched_.count(id) == 0; });
--- a/heatherlatch/traffic/service_queue.h
+++ b/heatherlatch/traffic/service_queue.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <limits>
 #include <optional>
 #include <set>
 #include <vector>
@@ -53,6 +54,14 @@
 
   // Records that a request of the service was sent.
   void OnSent(TimePoint now) { waiting_.OnSent(now); }
+  // Has a waiting request search servers beyond the zone, beside the search of
+  // the queue. The first request in the order that accepts one is sent.
+  void SearchBeyondZone(std::uint64_t id);
+  // @return the time until the requests that wait now have been sent; nothing
+  //     if it is not known
+  std::optional<Duration> DrainTime(TimePoint now) const {
+    return waiting_.DrainTime(now);
+  }
   // Offers a server that just reported its load to the waiting requests.
   void OnReading(const BackendServerName& server, TimePoint now);
 
@@ -65,7 +74,9 @@
  private:
   // Offers candidates to the waiting requests in their order.
   // @param searcher  the request that searched for them; 0: none
-  void Offer(const FoundServers& found, std::uint64_t searcher);
+  // @param most      how many of them may be sent
+  void Offer(const FoundServers& found, std::uint64_t searcher,
+             std::size_t most = std::numeric_limits<std::size_t>::max());
   void Refuse(const std::vector<std::uint64_t>& ids);
   void ArmTimer();
   void OnTimer();
@@ -79,6 +90,7 @@
   std::uint64_t next_id_ = 1;
   std::uint64_t searcher_ = 0;        // The request that searches; 0: none.
   std::set<std::uint64_t> searched_;  // That found no slot for any request.
+  std::set<std::uint64_t> beyond_zone_;  // That search beyond the zone.
   boost::asio::steady_timer timer_;
   bool timer_armed_ = false;
 };
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -53,6 +53,7 @@
     : io(io_context),
       settings(std::move(host_settings)),
       held_bytes(std::make_shared<ByteBudget>(HeldBytesLimit(settings))),
+      overflow(this),
       connections(io_context, held_bytes),
       suspects(CrashSuspectsOptions{kSuspectRetention, kCrashesUntilRefused,
                                     kMaxSuspects}),
@@ -141,6 +142,14 @@
   return count;
 }
 
+void TrafficContext::RecordReading(const ServerRecord& server,
+                                   const LoadReading& reading, TimePoint now) {
+  observations.OnReading(server.name, reading, now);
+  if (!rooms.OnReading(server.service, server.zone, reading, now)) {
+    metrics.Count("readings", "implausible");
+  }
+}
+
 std::optional<Candidate> TrafficContext::CandidateFor(
     const BackendServerName& server, TimePoint now) const {
   const ServerEntry* entry = directory.FindUsable(server, now);
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -27,9 +27,11 @@
 #include "heatherlatch/steering/probe_budget.h"
 #include "heatherlatch/steering/steering.h"
 #include "heatherlatch/traffic/decision_log.h"
+#include "heatherlatch/traffic/overflow_control.h"
 #include "heatherlatch/traffic/route_statistics.h"
 #include "heatherlatch/traffic/server_connection_pool.h"
 #include "heatherlatch/traffic/traffic_metrics.h"
+#include "heatherlatch/zone_room/room_map.h"
 
 namespace heatherlatch {
 
@@ -74,6 +76,10 @@
   // @return the requests of all services that wait at this host
   std::size_t WaitingRequests() const;
 
+  // Records the load that a server reported.
+  void RecordReading(const ServerRecord& server, const LoadReading& reading,
+                     TimePoint now);
+
   // @return a usable server as a candidate without a reading; nothing if it may
   //     not receive a request now
   std::optional<Candidate> CandidateFor(const BackendServerName& server,
@@ -111,6 +117,8 @@
   TableConfirmation table_confirmation;      // Of `routes`.
   ServerDirectory directory;
   ServerObservations observations;
+  RoomMap rooms;
+  OverflowControl overflow;
   ServerConnectionPool connections;
   RouteStatistics statistics;
   CrashSuspects suspects;
--- a/heatherlatch/traffic/traffic_metrics.cc
+++ b/heatherlatch/traffic/traffic_metrics.cc
@@ -37,7 +37,8 @@
   *out += text.str();
 }
 
-void TrafficMetrics::Count(std::string_view family, std::string_view outcome) {
+void TrafficMetrics::Count(std::string_view family, std::string_view outcome,
+                           std::uint64_t number) {
   auto found = families_.find(family);
   if (found == families_.end()) {
     found = families_.try_emplace(std::string(family)).first;
@@ -47,7 +48,7 @@
   if (counter == outcomes.end()) {
     counter = outcomes.try_emplace(std::string(outcome), 0).first;
   }
-  ++counter->second;
+  counter->second += number;
 }
 
 void TrafficMetrics::CountResponse(ResponseOrigin origin, unsigned status) {
--- a/heatherlatch/traffic/traffic_metrics.h
+++ b/heatherlatch/traffic/traffic_metrics.h
@@ -47,8 +47,10 @@
 
 class TrafficMetrics {
  public:
-  // Counts one event of a family, such as ("requests", "answered").
-  void Count(std::string_view family, std::string_view outcome);
+  // Counts events of a family, such as ("requests", "answered").
+  // @param number  how many, or how much of what the family measures
+  void Count(std::string_view family, std::string_view outcome,
+             std::uint64_t number = 1);
 
   // Counts one response to a caller.
   // @param status  the HTTP status
