--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -54,8 +54,8 @@
       parent->Mapping("zone_overflow", kOptional);
   if (!node) return;
   MappingReader reader(*node, "zone_overflow", context);
-  const auto zones = reader.Number("price_per_gigabyte_between_zones",
-                                   kRequired, kPriceRange);
+  const auto zones =
+      reader.Number("price_per_gigabyte_between_zones", kRequired, kPriceRange);
   const auto regions = reader.Number("price_per_gigabyte_between_regions",
                                      kRequired, kPriceRange);
   const auto missed =
--- a/heatherlatch/settings/traffic_host_settings_test.cc
+++ b/heatherlatch/settings/traffic_host_settings_test.cc
@@ -45,6 +45,24 @@
   CHECK(settings.memory_limit_bytes == 260'000'000);
 }
 
+TEST_CASE("prices of leaving the zone are read, and are off by default") {
+  const auto without = ReadTrafficHostSettings(kFile);
+  CHECK_FALSE(std::get<TrafficHostSettings>(without).zone_overflow);
+  const std::string prices =
+      "zone_overflow:\n  price_per_gigabyte_between_zones: 10\n"
+      "  price_per_gigabyte_between_regions: 30\n"
+      "  price_per_missed_target: ";
+  const auto with = ReadTrafficHostSettings(kFile + prices + "0.001\n");
+  REQUIRE(std::holds_alternative<TrafficHostSettings>(with));
+  const auto& overflow = std::get<TrafficHostSettings>(with).zone_overflow;
+  REQUIRE(overflow);
+  CHECK(overflow->byte_between_zones == Approx(10e-9));
+  CHECK(overflow->byte_between_regions == Approx(30e-9));
+  CHECK(overflow->missed_target == 0.001);
+  CHECK_FALSE(FindingsOf(kFile + prices + "0\n").empty());
+  CHECK_FALSE(FindingsOf(std::string(kFile) + "zone_overflow: {}\n").empty());
+}
+
 TEST_CASE("a memory limit that the platform leaves empty has its default") {
   std::string text = kFile;
   text.replace(text.find(": 260"), 5, ":");
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -259,8 +259,7 @@
 bool Exchange::IsTooLateForHost() const {
   const Duration delay = context_->loop_delay.delay();
   if (delay == Duration::zero()) return false;
-  return TimeLeft() <=
-         2 * delay + Work().service_time;
+  return TimeLeft() <= 2 * delay + Work().service_time;
 }
 
 std::vector<Candidate> Exchange::Eligible() const {
@@ -296,13 +295,13 @@
 SearchScope Exchange::FirstScope() {
   if (isolated_) return SearchScope::kNearest;
   if (drawn_scope_) return *std::exchange(drawn_scope_, std::nullopt);
-  return context_->overflow.Draw({service_, *route_, Work(), Body().size(),
-                                  queue().empty()
-                                      ? Duration::zero()
-                                      : queue()
-                                            .DrainTime(SteadyClock::now())
-                                            .value_or(State().service_time)},
-                                 SteadyClock::now());
+  return context_->overflow.Draw(
+      {service_, *route_, Work(), Body().size(),
+       queue().empty() ? Duration::zero()
+                       : queue()
+                             .DrainTime(SteadyClock::now())
+                             .value_or(State().service_time)},
+      SteadyClock::now());
 }
 
 PlacementState Exchange::State() const {
@@ -343,9 +342,8 @@
     search_ = std::make_shared<ServerSearch>(
         context_, prober_,
         SearchSubject{service_, [this] { return Eligible(); },
-                      [this] { return Work(); },
-                      [this] { return State(); }, isolated_,
-                      [this] { return FirstScope(); }});
+                      [this] { return Work(); }, [this] { return State(); },
+                      isolated_, [this] { return FirstScope(); }});
   }
   search_->Start(send_kind == SendKind::kPrimary,
                  [weak = weak_from_this(),
@@ -365,8 +363,7 @@
                                            return candidate.not_listening;
                                          });
   if (isolated_) KeepIdle(&candidates);
-  const std::optional<Choice> choice =
-      ChooseServer(candidates, Work());
+  const std::optional<Choice> choice = ChooseServer(candidates, Work());
   PlacementState state = State();
   state.unreachable = unreachable;
   const PlacementDecision decision =
@@ -481,8 +478,7 @@
 }
 
 void Exchange::PlaceHedge(const std::vector<Candidate>& candidates) {
-  const std::optional<Choice> choice =
-      ChooseServer(candidates, Work());
+  const std::optional<Choice> choice = ChooseServer(candidates, Work());
   const bool meets_target =
       choice && choice->occupancy != Occupancy::kQueued &&
       Elapsed() + choice->expected + kCallerRoundTrip <= route_->latency_target;
--- a/heatherlatch/traffic/overflow_control.cc
+++ b/heatherlatch/traffic/overflow_control.cc
@@ -41,14 +41,20 @@
 SearchScope OverflowControl::Draw(const OverflowSubject& subject,
                                   TimePoint now) {
   const auto& prices = context_->settings.zone_overflow;
-  if (!prices) return SearchScope::kNearest;
+  if (!prices) {
+    if (!entries_.empty()) {
+      entries_.clear();
+      SetGauges();
+    }
+    return SearchScope::kNearest;
+  }
   const Key key(subject.service, subject.route.name);
-  Entry& entry = entries_.try_emplace(key, *prices).first->second;
+  Entry& entry = entries_.try_emplace(key).first->second;
   std::uniform_real_distribution<double> uniform(0, 1);
   if (entry.overflow.IsDue(now)) {
     const OverflowInput input = Gather(subject, now);
     const OverflowReason reason =
-        entry.overflow.Update(input, uniform(context_->rng), now);
+        entry.overflow.Update(input, *prices, uniform(context_->rng), now);
     context_->metrics.Count("zone_overflow_decisions", ToString(reason));
     Log(key, input, reason, &entry);
   }
@@ -80,27 +86,30 @@
                                : &input.other_regions;
     AddZone(context_->rooms.Room(subject.service, zone, now), count, place);
   }
-  input.demand = {subject.work.service_time,
-                  subject.work.latency_target - kCallerRoundTrip,
-                  subject.wait_at_home,
-                  subject.work.response_bytes +
-                      static_cast<double>(subject.request_bytes)};
+  input.demand = {
+      subject.work.service_time, subject.work.latency_target - kCallerRoundTrip,
+      subject.wait_at_home,
+      subject.work.response_bytes + static_cast<double>(subject.request_bytes)};
   return input;
 }
 
-void OverflowControl::Log(const Key& key, const OverflowInput& input,
-                          OverflowReason reason, Entry* entry) {
-  const OverflowShares& shares = entry->overflow.shares();
+void OverflowControl::SetGauges() {
   OverflowShares highest;
   for (const auto& [other, each] : entries_) {
     highest.region = std::max(highest.region, each.overflow.shares().region);
-    highest.other_regions = std::max(highest.other_regions,
-                                     each.overflow.shares().other_regions);
+    highest.other_regions =
+        std::max(highest.other_regions, each.overflow.shares().other_regions);
   }
   context_->metrics.SetGauge("zone_overflow_region_thousandths",
                              highest.region * kThousandths);
   context_->metrics.SetGauge("zone_overflow_other_regions_thousandths",
                              highest.other_regions * kThousandths);
+}
+
+void OverflowControl::Log(const Key& key, const OverflowInput& input,
+                          OverflowReason reason, Entry* entry) {
+  const OverflowShares& shares = entry->overflow.shares();
+  SetGauges();
   const auto changed = [](double from, double to) {
     return std::abs(from - to) >= kLoggedChange || (from > 0 && to <= 0);
   };
@@ -110,17 +119,16 @@
   }
   entry->logged = shares;
   context_->log.Write(
-      "leaves-zone",
-      {{"service", key.first.str()},
-       {"route", key.second.str()},
-       {"reason", ToString(reason)},
-       {"region_share", shares.region},
-       {"other_regions_share", shares.other_regions},
-       {"free_at_home", input.home.free_share},
-       {"free_in_region", input.region.free_share},
-       {"free_in_other_regions", input.other_regions.free_share},
-       {"wait_ms", ToMilliseconds(input.demand.wait_at_home)},
-       {"bytes", input.demand.bytes}});
+      "leaves-zone", {{"service", key.first.str()},
+                      {"route", key.second.str()},
+                      {"reason", ToString(reason)},
+                      {"region_share", shares.region},
+                      {"other_regions_share", shares.other_regions},
+                      {"free_at_home", input.home.free_share},
+                      {"free_in_region", input.region.free_share},
+                      {"free_in_other_regions", input.other_regions.free_share},
+                      {"wait_ms", ToMilliseconds(input.demand.wait_at_home)},
+                      {"bytes", input.demand.bytes}});
 }
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/overflow_control.h
+++ b/heatherlatch/traffic/overflow_control.h
@@ -39,12 +39,12 @@
  private:
   using Key = std::pair<ServiceName, RouteName>;
   struct Entry {
-    explicit Entry(const OverflowPrices& prices) : overflow(prices) {}
     ZoneOverflow overflow;
     OverflowShares logged;
   };
 
   OverflowInput Gather(const OverflowSubject& subject, TimePoint now) const;
+  void SetGauges();
   void Log(const Key& key, const OverflowInput& input, OverflowReason reason,
            Entry* entry);
 
--- a/heatherlatch/traffic/server_search.cc
+++ b/heatherlatch/traffic/server_search.cc
@@ -90,8 +90,8 @@
   if (!wide_ || !subject_.first_scope) return false;
   scope_ = subject_.first_scope();
   if (scope_ == SearchScope::kNearest) return false;
-  std::vector<Candidate> drawn = DrawCandidates(
-      FartherServers(scope_), kCandidatesDrawn, &context_->rng);
+  std::vector<Candidate> drawn =
+      DrawCandidates(FartherServers(scope_), kCandidatesDrawn, &context_->rng);
   if (drawn.empty()) return false;
   began_beyond_zone_ = true;
   Probe(std::move(drawn), scope_ == SearchScope::kEverywhere
--- a/heatherlatch/traffic/service_queue.h
+++ b/heatherlatch/traffic/service_queue.h
@@ -16,8 +16,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -88,8 +88,8 @@
   WaitingQueue waiting_;
   std::map<std::uint64_t, Waiter> waiters_;
   std::uint64_t next_id_ = 1;
-  std::uint64_t searcher_ = 0;        // The request that searches; 0: none.
-  std::set<std::uint64_t> searched_;  // That found no slot for any request.
+  std::uint64_t searcher_ = 0;           // The request that searches; 0: none.
+  std::set<std::uint64_t> searched_;     // That found no slot for any request.
   std::set<std::uint64_t> beyond_zone_;  // That search beyond the zone.
   boost::asio::steady_timer timer_;
   bool timer_armed_ = false;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -220,6 +220,7 @@
   context_.settings.stop_wait = settings->stop_wait;
   context_.settings.memory_limit_bytes = settings->memory_limit_bytes;
   context_.settings.key_validity = settings->key_validity;
+  context_.settings.zone_overflow = settings->zone_overflow;
   context_.ApplyMemoryLimit();
   feed_.Reconfigure();
 }
--- a/heatherlatch/zone_room/zone_overflow.cc
+++ b/heatherlatch/zone_room/zone_overflow.cc
@@ -22,8 +22,8 @@
 // Smaller shares are not worth a crossing.
 constexpr double kLeastShare = 0.005;
 
-// The share that explores a place of which too little is known. It costs probes;
-// a request is sent only if their replies show room.
+// The share that explores a place of which too little is known. It costs
+// probes; a request is sent only if their replies show room.
 constexpr double kExploringShare = 0.25;
 // Below this trust, room is unknown.
 constexpr double kTrustToUse = 0.4;
@@ -55,8 +55,7 @@
   const Duration elsewhere =
       kRoundTripsElsewhere * place.round_trip + input.demand.service_time;
   const double gain =
-      (miss_at_home -
-       MissProbability(elsewhere, input.demand.latency_target)) *
+      (miss_at_home - MissProbability(elsewhere, input.demand.latency_target)) *
       missed_target;
   if (gain <= price_of_crossing) return {0, OverflowReason::kDoesNotPay};
   const double worth = 1 - price_of_crossing / gain;
@@ -99,9 +98,9 @@
   const double mean = ToMilliseconds(expected);
   const double limit = ToMilliseconds(target);
   if (mean <= 0) return limit > 0 ? 0 : 1;
-  return std::clamp((kMostFactor * mean - limit) /
-                        ((kMostFactor - kLeastFactor) * mean),
-                    0.0, 1.0);
+  return std::clamp(
+      (kMostFactor * mean - limit) / ((kMostFactor - kLeastFactor) * mean), 0.0,
+      1.0);
 }
 
 OverflowTarget DecideOverflow(const OverflowInput& input,
@@ -118,12 +117,12 @@
   const Duration at_home =
       demand.wait_at_home + home.round_trip + demand.service_time;
   const double miss_at_home = MissProbability(at_home, demand.latency_target);
-  const Offer region = OfferOf(input.region, input, miss_at_home, shortage,
-                               demand.bytes * prices.byte_between_zones,
-                               prices.missed_target);
-  Offer other = OfferOf(input.other_regions, input, miss_at_home, shortage,
-                        demand.bytes * prices.byte_between_regions,
-                        prices.missed_target);
+  const Offer region =
+      OfferOf(input.region, input, miss_at_home, shortage,
+              demand.bytes * prices.byte_between_zones, prices.missed_target);
+  Offer other =
+      OfferOf(input.other_regions, input, miss_at_home, shortage,
+              demand.bytes * prices.byte_between_regions, prices.missed_target);
   // The nearer zones take what they can first.
   const double both = MostShare(
       UsableSlots(input.region) + UsableSlots(input.other_regions), home);
@@ -139,19 +138,18 @@
   return !updated_at_ || now - *updated_at_ >= kOverflowInterval;
 }
 
-OverflowReason ZoneOverflow::Update(const OverflowInput& input, double sample,
+OverflowReason ZoneOverflow::Update(const OverflowInput& input,
+                                    const OverflowPrices& prices, double sample,
                                     TimePoint now) {
-  const double intervals =
-      updated_at_ ? ToMilliseconds(now - *updated_at_) /
-                        ToMilliseconds(kOverflowInterval)
-                  : 1;
+  const double intervals = updated_at_ ? ToMilliseconds(now - *updated_at_) /
+                                             ToMilliseconds(kOverflowInterval)
+                                       : 1;
   const double steps = std::clamp(intervals, 0.0, kMostIntervals);
   updated_at_ = now;
-  const OverflowTarget target = DecideOverflow(input, prices_);
+  const OverflowTarget target = DecideOverflow(input, prices);
   shares_.region = Step(shares_.region, target.shares.region, sample, steps);
   shares_.other_regions =
-      Step(shares_.other_regions, target.shares.other_regions, sample,
-           steps);
+      Step(shares_.other_regions, target.shares.other_regions, sample, steps);
   return target.reason;
 }
 
--- a/heatherlatch/zone_room/zone_overflow.h
+++ b/heatherlatch/zone_room/zone_overflow.h
@@ -14,9 +14,9 @@
 // recovery of the zone it is negligible.
 //
 // Example:
-//   ZoneOverflow overflow(prices);
-//   overflow.Update({home, region, other_regions, demand}, sample, now);
-//   if (overflow.Draw(sample) == OverflowScope::kRegion) ...
+//   ZoneOverflow overflow;
+//   overflow.Update({home, region, other_regions, demand}, prices, sample,
+//   now); if (overflow.Draw(sample) == OverflowScope::kRegion) ...
 //
 // Thread safety: none; the caller serialises access. Reads no clock.
 #ifndef HEATHERLATCH_ZONE_ROOM_ZONE_OVERFLOW_H_
@@ -38,11 +38,11 @@
 
 // The servers of one service at one distance, as far as the host knows.
 struct OverflowPlace {
-  int slots = 0;         // Of all usable servers, by the platform's list.
-  double free_share = 0; // As in ZoneRoom.
-  double speed = 1;      // As in ZoneRoom.
-  double trust = 0;      // As in ZoneRoom.
-  Duration round_trip{}; // Between host and server.
+  int slots = 0;          // Of all usable servers, by the platform's list.
+  double free_share = 0;  // As in ZoneRoom.
+  double speed = 1;       // As in ZoneRoom.
+  double trust = 0;       // As in ZoneRoom.
+  Duration round_trip{};  // Between host and server.
 };
 
 // The requests of one route.
@@ -54,8 +54,8 @@
 };
 
 struct OverflowInput {
-  OverflowPlace home;           // The host's zone.
-  OverflowPlace region;         // Other zones of its region.
+  OverflowPlace home;    // The host's zone.
+  OverflowPlace region;  // Other zones of its region.
   OverflowPlace other_regions;
   OverflowDemand demand;
 };
@@ -65,11 +65,11 @@
 
 // Why a share is what it is.
 enum class OverflowReason {
-  kRoomAtHome,        // The zone has room, or meets the latency targets.
-  kNoServersAtHome,   // The nearest servers are used in any case.
+  kRoomAtHome,       // The zone has room, or meets the latency targets.
+  kNoServersAtHome,  // The nearest servers are used in any case.
   kNoRoomElsewhere,
-  kDoesNotPay,        // Bytes or delay are worth more than the gain.
-  kExplores,          // Too little is known of the room elsewhere.
+  kDoesNotPay,  // Bytes or delay are worth more than the gain.
+  kExplores,    // Too little is known of the room elsewhere.
   kLeaves,
 };
 
@@ -104,15 +104,14 @@
 
 class ZoneOverflow {
  public:
-  explicit ZoneOverflow(OverflowPrices prices) : prices_(prices) {}
-
   // @return whether the last update is longer ago than the interval
   bool IsDue(TimePoint now) const;
 
   // Moves the shares towards those that pay.
   // @param sample  uniformly distributed in [0, 1)
   // @return the reason of this decision
-  OverflowReason Update(const OverflowInput& input, double sample,
+  OverflowReason Update(const OverflowInput& input,
+                        const OverflowPrices& prices, double sample,
                         TimePoint now);
 
   // @param sample  uniformly distributed in [0, 1)
@@ -122,7 +121,6 @@
   const OverflowShares& shares() const { return shares_; }
 
  private:
-  OverflowPrices prices_;
   OverflowShares shares_;
   std::optional<TimePoint> updated_at_;
 };
--- a/heatherlatch/zone_room/zone_overflow_test.cc
+++ b/heatherlatch/zone_room/zone_overflow_test.cc
@@ -26,14 +26,14 @@
 constexpr int kProbesOfSearch = 3;
 constexpr milliseconds kTenth{100};
 constexpr double kRecovered = 0.6;  // Share of the slots of a zone with room.
-constexpr int kServers = 18;  // A zone.
-constexpr int kSlots = 6;     // A server.
+constexpr int kServers = 18;        // A zone.
+constexpr int kSlots = 6;           // A server.
 const ServiceName kService("lookup");
 const std::array<ZoneName, 2> kZones{ZoneName("north"), ZoneName("south")};
 
 struct Load {
   int hosts = 20;            // Of the north, where the load is high.
-  double busy = 1.4;          // Load of the north until second 5; 1 fills it.
+  double busy = 1.4;         // Load of the north until second 5; 1 fills it.
   double busy_after = 0.3;   // From second 5 on.
   double busy_south = 0.25;  // Of the callers of the south.
   double bytes = 400;
@@ -43,9 +43,10 @@
 struct Outcomes {
   double in_time_north = 0;  // Shares, until second 5.
   double in_time_south = 0;
-  std::vector<int> crossing;        // Requests, by tenth of a second.
-  double most_taken_in_south = 0;   // Share of the slots.
-  int recovered = 0;  // The tenth of a second in which the north had room again.
+  std::vector<int> crossing;       // Requests, by tenth of a second.
+  double most_taken_in_south = 0;  // Share of the slots.
+  int recovered =
+      0;  // The tenth of a second in which the north had room again.
   double Crossed(int from, int to) const {
     int sum = 0;
     for (int i = from; i < to; ++i) sum += crossing.at(i);
@@ -77,7 +78,7 @@
  private:
   struct Host {
     RoomMap rooms;
-    ZoneOverflow overflow{kPrices};
+    ZoneOverflow overflow;
   };
   struct Request {
     int from = 0;
@@ -119,7 +120,7 @@
         input.home = Place(host, 0, Duration::zero());
         input.other_regions = Place(host, 1, kFarRoundTrip);
         input.demand = {kServiceTime, kTarget, wait, load_.bytes};
-        host.overflow.Update(input, Sample(), now_);
+        host.overflow.Update(input, kPrices, Sample(), now_);
       }
       const bool leaves = load_.decides && host.overflow.Draw(Sample()) ==
                                                OverflowScope::kOtherRegions;
@@ -140,11 +141,12 @@
 
   void Serve(int index) {
     Zone& zone = zones_.at(index);
-    const auto ended =
-        std::partition(zone.running.begin(), zone.running.end(),
-                       [&](const Request& each) { return each.ends_at > now_; });
+    const auto ended = std::partition(
+        zone.running.begin(), zone.running.end(),
+        [&](const Request& each) { return each.ends_at > now_; });
     for (auto it = ended; it != zone.running.end(); ++it) {
-      const Duration trip = it->from == index ? Duration::zero() : kFarRoundTrip;
+      const Duration trip =
+          it->from == index ? Duration::zero() : kFarRoundTrip;
       if (Early(it->read_at) && now_ + trip - it->read_at <= kTarget) {
         ++in_time_.at(it->from);
       }
@@ -293,7 +295,8 @@
     CHECK(shares.region >= 0);
     CHECK(shares.region + shares.other_regions <= 1);
     const double usable = 500 * std::max(0.0, free - kOverflowReserve);
-    CHECK(shares.region + shares.other_regions <= usable / (usable + 100) + 1e-9);
+    CHECK(shares.region + shares.other_regions <=
+          usable / (usable + 100) + 1e-9);
   }
 }
 
