Count delay as certain when leaving the zone is weighed

The chance to miss a target scaled round trips and waits with the spread of the service time. Two round trips to another region then counted as a fifth of a miss for a 230 ms service with a 484 ms target, so that requests stayed at home until the wait there was over 130 ms. Only the service time varies; it now also counts the speed of the servers.

--- a/heatherlatch/zone_room/zone_overflow.cc
+++ b/heatherlatch/zone_room/zone_overflow.cc
@@ -6,7 +6,7 @@
 namespace heatherlatch {
 namespace {
 
-// Responses take between these multiples of their mean time. The spread is that
+// Servers take between these multiples of the mean time. The spread is that
 // of the service times of the users' requests on nearly full servers.
 constexpr double kLeastFactor = 0.4;
 constexpr double kMostFactor = 1.6;
@@ -28,6 +28,9 @@
 // Below this trust, room is unknown.
 constexpr double kTrustToUse = 0.4;
 
+// Users' servers are slowed by a factor of seven at most, but for errors.
+constexpr double kLeastSpeed = 0.1;
+
 // A request that goes elsewhere needs a probe first, and both cross.
 constexpr int kRoundTripsElsewhere = 2;
 
@@ -40,6 +43,13 @@
   return place.slots * std::max(0.0, place.free_share - kOverflowReserve);
 }
 
+// @return the expected time at a server of the place, as far as its speed is
+//     known
+Duration ServiceTime(const OverflowPlace& place, const OverflowDemand& demand) {
+  if (place.trust < kTrustToUse) return demand.service_time;
+  return Scale(demand.service_time, 1 / std::max(kLeastSpeed, place.speed));
+}
+
 // @return the share with which as much of the slots elsewhere is taken as of
 //     those at home
 double MostShare(double usable_slots, const OverflowPlace& home) {
@@ -52,11 +62,10 @@
               double miss_at_home, double shortage, double price_of_crossing,
               double missed_target) {
   if (place.slots <= 0) return {};
-  const Duration elsewhere =
-      kRoundTripsElsewhere * place.round_trip + input.demand.service_time;
-  const double gain =
-      (miss_at_home - MissProbability(elsewhere, input.demand.latency_target)) *
-      missed_target;
+  const double miss_elsewhere = MissProbability(
+      kRoundTripsElsewhere * place.round_trip, ServiceTime(place, input.demand),
+      input.demand.latency_target);
+  const double gain = (miss_at_home - miss_elsewhere) * missed_target;
   if (gain <= price_of_crossing) return {0, OverflowReason::kDoesNotPay};
   const double worth = 1 - price_of_crossing / gain;
   if (place.trust < kTrustToUse) {
@@ -94,9 +103,9 @@
   return "room-at-home";
 }
 
-double MissProbability(Duration expected, Duration target) {
-  const double mean = ToMilliseconds(expected);
-  const double limit = ToMilliseconds(target);
+double MissProbability(Duration delay, Duration service_time, Duration target) {
+  const double mean = ToMilliseconds(service_time);
+  const double limit = ToMilliseconds(target - delay);
   if (mean <= 0) return limit > 0 ? 0 : 1;
   return std::clamp(
       (kMostFactor * mean - limit) / ((kMostFactor - kLeastFactor) * mean), 0.0,
@@ -114,9 +123,9 @@
   const double shortage = std::max(0.0, 1 - free_at_home / kOverflowReserve);
   if (shortage <= 0) return {{}, OverflowReason::kRoomAtHome};
   const OverflowDemand& demand = input.demand;
-  const Duration at_home =
-      demand.wait_at_home + home.round_trip + demand.service_time;
-  const double miss_at_home = MissProbability(at_home, demand.latency_target);
+  const double miss_at_home =
+      MissProbability(demand.wait_at_home + home.round_trip,
+                      ServiceTime(home, demand), demand.latency_target);
   const Offer region =
       OfferOf(input.region, input, miss_at_home, shortage,
               demand.bytes * prices.byte_between_zones, prices.missed_target);
--- a/heatherlatch/zone_room/zone_overflow.h
+++ b/heatherlatch/zone_room/zone_overflow.h
@@ -94,9 +94,11 @@
 // down above four fifths of their slots.
 inline constexpr double kOverflowReserve = 0.25;
 
-// @return the probability that a response is later than `target`, if responses
-//     take `expected` on average
-double MissProbability(Duration expected, Duration target);
+// @param delay         what passes before and after the service, which varies
+//                      little
+// @param service_time  the mean time at the server
+// @return the probability that a response is later than `target`
+double MissProbability(Duration delay, Duration service_time, Duration target);
 
 // @return the shares that pay, without regard to the present ones
 OverflowTarget DecideOverflow(const OverflowInput& input,
