--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -19,6 +19,7 @@
 #include "heatherlatch/base/name.h"
 #include "heatherlatch/base/time.h"
 #include "heatherlatch/objects/check.h"
+#include "heatherlatch/zone_room/zone_overflow.h"
 
 namespace heatherlatch {
 
@@ -59,6 +60,10 @@
   Duration allotment_window = std::chrono::seconds(5);
   double allotment_overshoot = 0.1;
   double allotment_slack = 0;  // Requests.
+  // Prices by which the host decides which share of its requests leaves its
+  // zone. Absent: no share does, and only requests without a server in time
+  // look for one farther away.
+  std::optional<OverflowPrices> zone_overflow;
 };
 
 // @param yaml  the text of the file
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -226,6 +226,7 @@
   context_.settings.allotment_window = settings->allotment_window;
   context_.settings.allotment_overshoot = settings->allotment_overshoot;
   context_.settings.allotment_slack = settings->allotment_slack;
+  context_.settings.zone_overflow = settings->zone_overflow;
   context_.ApplyMemoryLimit();
   feed_.Reconfigure();
 }
