Refuse at arrival what cannot be served, and keep room for callers told to return

Cause: a host learned the rate at which a queue drains from eight sends in two seconds. With few requests of a service a host never has so many, so requests were held for two latency targets and then refused, and their callers came back within the time until the queue drained, while it was still full.

Change: the rate is also taken from the sends since requests began to wait, and arrivals count against it. A request is refused when it arrives if its turn comes too late. Refused callers are told slots in which there is room, which is kept; those that come back wait on, behind those that can be in time. Late requests no longer get each ninth send while others can be in time. Within a rank, an organisation that floods comes after the others.

--- a/heatherlatch/queueing/waiting_queue.h
+++ b/heatherlatch/queueing/waiting_queue.h
@@ -7,9 +7,13 @@
 // Requests that can still meet their latency target come first, by priority and
 // then by the time by which they must be sent. Late ones follow, by priority
 // and then by the time at which they are given up: a request that a caller
-// sends again has less time left, and so comes before newer ones. A request is
-// refused as soon as the rate of the last sends shows that its turn would come
-// too late.
+// sends again has less time left, and so comes before newer ones. Of requests
+// of one rank, those of an organisation that has much more waiting or sent
+// lately than the others come after those with less.
+//
+// A request is refused as soon as the rates of arrivals and sends show that its
+// turn would come too late: the more urgent ones that are going to arrive are
+// sent before it, and once it is late, so are all that can still be in time.
 //
 // Example:
 //   WaitingQueue queue;
@@ -23,12 +27,16 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
+#include "heatherlatch/base/name.h"
 #include "heatherlatch/base/time.h"
+#include "heatherlatch/queueing/fair_share.h"
+#include "heatherlatch/queueing/return_schedule.h"
+#include "heatherlatch/queueing/service_pace.h"
 
 namespace heatherlatch {
 
@@ -44,12 +52,17 @@
   TimePoint send_by;      // Sent later, it misses its latency target.
   TimePoint give_up_at;   // It is not sent later than this.
   std::uint64_t bytes{};  // That it holds while it waits.
+  OrganisationName organisation = {};  // Empty: none.
+  // Whether it is not refused because others arrive: its caller was told to
+  // come back now.
+  bool has_place = false;
 };
 
 class WaitingQueue {
  public:
   // Every so many sends, the next one goes to the request that has waited for
-  // the longest time, so that requests of a low priority do not starve.
+  // the longest time, so that requests of a low priority do not starve. Late
+  // ones are left out while others can still be in time.
   static constexpr int kSendsBetweenLongestWaiting = 8;
 
   explicit WaitingQueue(WaitingQueueLimits limits = {}) : limits_(limits) {}
@@ -61,17 +74,22 @@
   std::vector<std::uint64_t> Add(const WaitingRequest& request, TimePoint now);
   void Remove(std::uint64_t id);
 
+  // Records a request of the service, whether it is going to wait or not, that
+  // came without a place that its caller was promised.
+  void OnArrival(int priority, TimePoint now) {
+    pace_.OnArrival(priority, now);
+  }
+
   // Records that a request of the service was sent to a server, whether it
   // waited or not. The rate of these sends is the rate at which the queue is
   // expected to drain.
-  void OnSent(TimePoint now);
+  void OnSent(TimePoint now, const OrganisationName& organisation = {});
 
   // @return the waiting requests, in the order in which they are to be sent
   std::vector<std::uint64_t> Order(TimePoint now) const;
 
   // Removes the requests that cannot be sent in time: those whose time is over,
-  // and those of which the rate of the last sends shows that their turn comes
-  // after it.
+  // and those of which the rates show that their turn comes after it.
   // @return their IDs, which the caller refuses
   std::vector<std::uint64_t> TakeOverdue(TimePoint now);
 
@@ -79,6 +97,10 @@
   //     rate of the last sends; nothing while that rate is not known
   std::optional<Duration> DrainTime(TimePoint now) const;
 
+  // @return when there is room for callers that come back, at the rates of the
+  //     last sends and arrivals; nothing while they are not known
+  std::optional<ExpectedRoom> Room(TimePoint now) const;
+
   bool Contains(std::uint64_t id) const { return entries_.count(id) > 0; }
   bool empty() const { return entries_.empty(); }
   std::size_t size() const { return entries_.size(); }
@@ -89,14 +111,20 @@
     std::uint64_t arrival = 0;  // Its place in the order of arrival.
   };
 
-  // @return sends per second; nothing while there were too few to tell
-  std::optional<double> SendRate(TimePoint now) const;
+  // @return the requests that come after those of the same rank, because their
+  //     organisation uses much more than the others
+  std::set<std::uint64_t> BeyondFairShare(TimePoint now) const;
+  // @return when a request is expected to be sent that has `ahead` others
+  //     before it, in the most favourable case
+  TimePoint ExpectedTurn(const WaitingRequest& request, double ahead,
+                         TimePoint now) const;
 
   WaitingQueueLimits limits_;
   std::map<std::uint64_t, Entry> entries_;
   std::uint64_t bytes_ = 0;
   std::uint64_t next_arrival_ = 0;
-  std::deque<TimePoint> sent_at_;  // The last sends.
+  ServicePace pace_;
+  OrganisationUsage usage_;
   int sends_since_longest_waiting_ = 0;
 };
 
--- a/heatherlatch/queueing/waiting_queue_test.cc
+++ b/heatherlatch/queueing/waiting_queue_test.cc
@@ -134,6 +134,170 @@
   CHECK(RetryAfterRoom(room, -room, 0.5) == Duration::zero());
 }
 
+TEST_CASE("few sends tell the rate once requests have waited a while") {
+  WaitingQueue queue;
+  for (std::uint64_t id = 1; id <= 40; ++id) {
+    queue.Add(Request(id, 0, 400, 1600), kNow);
+  }
+  queue.OnSent(kNow + milliseconds(100));
+  queue.OnSent(kNow + milliseconds(400));
+  // Six requests a second, so that at most 14 are sent in the time left.
+  CHECK(queue.TakeOverdue(kNow + milliseconds(500)).size() >= 24);
+}
+
+TEST_CASE("a late request is refused if those to come take all the room") {
+  for (const int arrivals_per_second : {0, 100}) {
+    WaitingQueue queue;
+    RecordSends(&queue, 50);
+    for (int i = 2 * arrivals_per_second - 1; i >= 0; --i) {
+      queue.OnArrival(0, kNow - milliseconds(1000 * i / arrivals_per_second));
+    }
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+      queue.Add(Request(id, 0, 300), kNow);
+    }
+    queue.Add(Request(11, 0, -1, 800), kNow);
+    WaitingRequest promised = Request(12, 0, -1, 801);
+    promised.has_place = true;
+    queue.Add(promised, kNow);
+    CHECK(queue.TakeOverdue(kNow) ==
+          (arrivals_per_second == 0 ? Ids{} : Ids{11}));
+  }
+}
+
+TEST_CASE("a late request does not go before those that can be in time") {
+  WaitingQueue queue;
+  queue.Add(Request(1, 0, -1, 900), kNow);
+  queue.Add(Request(2, 0, 100), kNow);
+  queue.Add(Request(3, 1, 100), kNow);
+  for (int i = 0; i < WaitingQueue::kSendsBetweenLongestWaiting; ++i) {
+    queue.OnSent(kNow);
+    CHECK(queue.Order(kNow).back() == 1);
+  }
+}
+
+TEST_CASE("of one rank, an organisation with much more waiting comes last") {
+  WaitingQueue queue;
+  std::uint64_t id = 0;
+  const auto add = [&](const char* organisation, int priority) {
+    WaitingRequest request = Request(++id, priority, 100);
+    request.organisation = OrganisationName(organisation);
+    queue.Add(request, kNow);
+    return id;
+  };
+  for (int i = 0; i < 20; ++i) add("large", 1);
+  const std::uint64_t other = add("other", 1);
+  const std::uint64_t none = add("", 1);
+  const std::uint64_t less_urgent = add("third", 2);
+  const Ids order = queue.Order(kNow);
+  const auto place = [&](std::uint64_t of) {
+    return std::find(order.begin(), order.end(), of) - order.begin();
+  };
+  // 23 requests of four groups: one and a half times the average is eight.
+  CHECK(place(other) <= 9);
+  CHECK(place(none) <= 9);
+  CHECK(place(less_urgent) == 22);
+}
+
+TEST_CASE("an organisation that has sent much lately comes last") {
+  WaitingQueue queue;
+  const OrganisationName large("large");
+  for (int i = 0; i < 2; ++i) queue.OnSent(kNow, large);
+  WaitingRequest first = Request(1, 0, 100);
+  first.organisation = large;
+  queue.Add(first, kNow);
+  WaitingRequest second = Request(2, 0, 200);
+  second.organisation = OrganisationName("other");
+  queue.Add(second, kNow);
+  queue.OnSent(kNow, OrganisationName("other"));
+  CHECK(queue.Order(kNow).front() == 1);
+  for (int i = 0; i < 8; ++i) queue.OnSent(kNow, large);
+  CHECK(queue.Order(kNow).front() == 2);
+  // What was sent long ago does not count.
+  CHECK(queue.Order(kNow + std::chrono::seconds(30)).front() == 1);
+}
+
+TEST_CASE("a caller that leaves frees its place at once") {
+  WaitingQueue queue({2, 100});
+  WaitingRequest upload = Request(1, 0, 100);
+  upload.bytes = 100;
+  CHECK(queue.Add(upload, kNow).empty());
+  queue.Remove(1);
+  upload.id = 2;
+  CHECK(queue.Add(upload, kNow).empty());
+}
+
+ExpectedRoom Room(int from_ms, double per_second) {
+  return {milliseconds(from_ms), per_second};
+}
+
+TEST_CASE("callers are told times at which there is room for each") {
+  ReturnSchedule schedule;
+  std::vector<Duration> told;
+  for (int i = 0; i < 10; ++i) {
+    const Return back =
+        schedule.Grant(Room(500, 10), std::chrono::seconds(6), 0.5, kNow);
+    CHECK(back.has_place);
+    CHECK(back.after >= milliseconds(500));
+    told.push_back(back.after);
+  }
+  // Ten a second: one in each slot of 100 ms.
+  CHECK(std::is_sorted(told.begin(), told.end()));
+  CHECK(told.back() - told.front() == milliseconds(900));
+  CHECK(schedule.counts().granted == 10);
+}
+
+TEST_CASE("without room callers are spread over the end of their patience") {
+  ReturnSchedule schedule;
+  std::set<Duration> told;
+  for (int i = 0; i < 10; ++i) {
+    const Return back =
+        schedule.Grant(Room(500, 0), std::chrono::seconds(6), 0.5, kNow);
+    CHECK_FALSE(back.has_place);
+    CHECK(back.after >= milliseconds(1000));
+    CHECK(back.after <= milliseconds(2000));
+    told.insert(back.after);
+  }
+  CHECK(told.size() == 10);
+  CHECK(schedule.counts().granted == 0);
+}
+
+TEST_CASE("a place is used once, from its slot on, or it expires") {
+  ReturnSchedule schedule;
+  schedule.Grant(Room(500, 10), std::chrono::seconds(6), 0, kNow);
+  schedule.Grant(Room(500, 10), std::chrono::seconds(6), 0, kNow);
+  const auto arrival_at = [&](int after_ms) {
+    return schedule.OnArrival(true, kNow + milliseconds(after_ms));
+  };
+  CHECK(arrival_at(400) == ArrivalKind::kNew);
+  CHECK(arrival_at(500) == ArrivalKind::kWithPlace);
+  CHECK(arrival_at(550) == ArrivalKind::kNew);
+  CHECK(arrival_at(2000) == ArrivalKind::kNew);
+  CHECK(schedule.counts().used == 1);
+  CHECK(schedule.counts().expired == 1);
+}
+
+TEST_CASE("a caller told a time without a place is known when it returns") {
+  ReturnSchedule schedule;
+  const Return back =
+      schedule.Grant(Room(500, 0), std::chrono::seconds(6), 0, kNow);
+  const TimePoint then = kNow + back.after;
+  CHECK(schedule.OnArrival(false, then) == ArrivalKind::kNew);
+  CHECK(schedule.OnArrival(true, then) == ArrivalKind::kReturning);
+  CHECK(schedule.OnArrival(true, then) == ArrivalKind::kNew);
+}
+
+TEST_CASE("a Retry-After is sound whatever time and room are stated") {
+  CHECK(rc::check("within a third of the time left", [] {
+    ReturnSchedule schedule;
+    const auto left = milliseconds(*rc::gen::arbitrary<int>());
+    const Return back = schedule.Grant(
+        Room(*rc::gen::arbitrary<int>(), *rc::gen::inRange(0, 1000000)), left,
+        *rc::gen::inRange(0, 100) / 100.0, kNow);
+    RC_ASSERT(back.after >= Duration::zero());
+    RC_ASSERT(back.after <= LongestRetryAfter(left));
+  }));
+}
+
 TEST_CASE("each request leaves the queue exactly once, in any order of calls") {
   CHECK(rc::check("each ID leaves exactly once", [] {
     WaitingQueue queue({20, 1 << 20});
--- a/heatherlatch/steering/placement_decision.cc
+++ b/heatherlatch/steering/placement_decision.cc
@@ -40,8 +40,9 @@
 }
 
 bool MayWaitPastTarget(const PlacementState& state) {
-  return state.waited < kMaxWaitInLatencyTargets * state.latency_target &&
-         LoadMayChangeInTime(state);
+  const bool is_short =
+      state.waited < kMaxWaitInLatencyTargets * state.latency_target;
+  return (is_short || state.keeps_waiting) && LoadMayChangeInTime(state);
 }
 
 }  // namespace
@@ -84,9 +85,13 @@
   const Duration until_late = TimeToTarget(state) -
                               Scale(state.service_time, kUsualWorstFactor) -
                               kRoundTripInRegion;
-  const Duration may_wait = std::min(
-      kMaxWaitInLatencyTargets * state.latency_target - state.waited,
-      state.time_left - kMinTimeLeftInServiceTimes * state.service_time);
+  Duration may_wait =
+      state.time_left - kMinTimeLeftInServiceTimes * state.service_time;
+  if (!state.keeps_waiting) {
+    may_wait =
+        std::min(may_wait, kMaxWaitInLatencyTargets * state.latency_target -
+                               state.waited);
+  }
   // In the last part of its wait a request accepts any server with a free slot.
   const Duration last_part = state.service_time / 2;
   return {until_late,
--- a/heatherlatch/steering/placement_decision.h
+++ b/heatherlatch/steering/placement_decision.h
@@ -46,6 +46,9 @@
   Duration service_time{};    // On an idle server at its usual speed.
   // Every probed server refused the connection.
   bool unreachable = false;
+  // Whether it waits on while a server may still complete it: its caller was
+  // refused before.
+  bool keeps_waiting = false;
 };
 
 // Interval between two searches for the waiting requests of a service. A fifth
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -129,6 +129,9 @@
     RefuseAsNotRun(NotRunReason::kDeadlineTooShort, kRetryAfter);
     return;
   }
+  arrival_kind_ = queue().OnArrival(
+      RankOf(route_->priority, organisation()),
+      MayReturn(TimeLeft(), route_->latency_target), SteadyClock::now());
   SelectServer(SendKind::kPrimary);
 }
 
@@ -285,8 +288,10 @@
 }
 
 PlacementState Exchange::State() const {
-  return {Elapsed(), route_->latency_target, TimeForServer(),
-          context_->statistics.Expect(*route_).service_time};
+  PlacementState state{Elapsed(), route_->latency_target, TimeForServer(),
+                       context_->statistics.Expect(*route_).service_time};
+  state.keeps_waiting = arrival_kind_ != ArrivalKind::kNew;
+  return state;
 }
 
 Duration Exchange::TimeForServer() const {
@@ -405,6 +410,11 @@
         waiting.give_up_at, *context_->requests_end_at - state.service_time);
   }
   waiting.bytes = Body().size();
+  if (organisation_) waiting.organisation = organisation_->name;
+  waiting.has_place = arrival_kind_ != ArrivalKind::kNew;
+  if (arrival_kind_ == ArrivalKind::kReturning) {
+    waiting.send_by = std::min(waiting.send_by, request_.read_at);
+  }
   const auto self = shared_from_this();
   queue().Join(waiting,
                {[self](const FoundServers& found, bool own_search) {
@@ -414,11 +424,12 @@
                 [self](ServerSearch::Done done) {
                   self->StartSearch(SendKind::kPrimary, std::move(done));
                 },
-                [self] { self->RefuseAfterWait(); }});
+                [self](bool at_arrival) { self->RefuseForTurn(at_arrival); }});
 }
 
-void Exchange::RefuseAfterWait() {
+void Exchange::RefuseForTurn(bool at_arrival) {
   const NotRunReason reason = WhyNotPlaced(NotRunReason::kQueueFull);
+  if (!at_arrival) context_->metrics.queue_time.Observe(Elapsed());
   if (!may_have_run_) LogNotPlaced(ToString(reason), std::nullopt);
   RefuseOrFail(reason, RetryAfterWaiting());
 }
@@ -445,6 +456,7 @@
        {"reason", reason},
        {"configuration", static_cast<double>(routes_->version)},
        {"queued", static_cast<double>(queue().size())},
+       {"returns", arrival_kind_ != ArrivalKind::kNew ? 1.0 : 0.0},
        {"best_ms", choice ? ToMilliseconds(choice->expected) : -1},
        {"best_is_full",
         choice && choice->occupancy == Occupancy::kQueued ? 1.0 : 0.0},
@@ -491,8 +503,12 @@
   context_->observations.OnSent(server.name, now);
   context_->cold_permits.Use(server.name);
   context_->ProbeBudgetFor(service_).OnSent(now);
+  if (queue().Contains(queue_id_)) {
+    context_->metrics.Count("waits", "sent");
+    context_->metrics.queue_time.Observe(Elapsed());
+  }
   queue().Leave(queue_id_);
-  queue().OnSent(now);
+  queue().OnSent(now, organisation_ ? organisation_->name : OrganisationName());
   context_->log.Write(
       "placed",
       {{"request", request_.request_id},
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -149,7 +149,9 @@
   void Wait(const std::optional<Choice>& choice);
   // Adds the request to those that wait, or updates the bounds of its wait.
   void JoinQueue();
-  void RefuseAfterWait();
+  // Refuses the request because its turn would come too late.
+  // @param at_arrival  whether it did not wait
+  void RefuseForTurn(bool at_arrival);
   // @return when the caller may send the request again
   Duration RetryAfterWaiting();
   void LogNotPlaced(std::string_view reason,
@@ -231,6 +233,7 @@
       0;  // Replies to crash probes of earlier ones are ignored.
   std::shared_ptr<ServerSearch> search_;
   std::uint64_t queue_id_ = 0;  // 0: it has not waited.
+  ArrivalKind arrival_kind_ = ArrivalKind::kNew;
 
   std::vector<AttemptPtr> attempts_;  // In progress.
   std::set<BackendServerName> tried_;
--- a/heatherlatch/traffic/service_queue.cc
+++ b/heatherlatch/traffic/service_queue.cc
@@ -22,9 +22,23 @@
 ServiceQueue::ServiceQueue(TrafficContext* context, ServiceName service)
     : context_(context), service_(std::move(service)), timer_(*context->io) {}
 
+ArrivalKind ServiceQueue::OnArrival(int priority, bool may_return,
+                                    TimePoint now) {
+  const ArrivalKind kind = returns_.OnArrival(may_return, now);
+  CountReturns();
+  if (kind == ArrivalKind::kNew) waiting_.OnArrival(priority, now);
+  if (kind == ArrivalKind::kReturning) {
+    context_->metrics.Count("returns", "came-without-place");
+  }
+  return kind;
+}
+
 void ServiceQueue::Join(const WaitingRequest& request, Waiter waiter) {
+  const TimePoint now = SteadyClock::now();
+  const bool is_new = !waiting_.Contains(request.id);
   waiters_[request.id] = std::move(waiter);
-  Refuse(waiting_.Add(request, SteadyClock::now()));
+  Refuse(waiting_.Add(request, now), is_new ? request.id : 0);
+  if (is_new) Refuse(waiting_.TakeOverdue(now), request.id);
   ArmTimer();
 }
 
@@ -61,22 +75,45 @@
   }
 }
 
-void ServiceQueue::Refuse(const std::vector<std::uint64_t>& ids) {
+void ServiceQueue::Refuse(const std::vector<std::uint64_t>& ids,
+                          std::uint64_t arriving) {
   for (const std::uint64_t id : ids) {
     const auto found = waiters_.find(id);
     if (found == waiters_.end()) continue;
     const Waiter waiter = std::move(found->second);
     Leave(id);
-    waiter.refuse();
+    const bool at_arrival = id == arriving;
+    context_->metrics.Count(
+        "waits", at_arrival ? "refused-at-arrival" : "refused-after-wait");
+    waiter.refuse(at_arrival);
   }
 }
 
 Duration ServiceQueue::RetryAfter(Duration time_left, TimePoint now) {
-  const Duration until_room =
-      std::max(kRetryAfter, waiting_.DrainTime(now).value_or(kRetryAfter));
   const double sample =
       std::uniform_real_distribution<double>(0, 1)(context_->rng);
-  return RetryAfterRoom(until_room, time_left, sample);
+  std::optional<ExpectedRoom> room = waiting_.Room(now);
+  // Without waiting requests, it was not refused for want of room.
+  if (waiting_.empty() || !room) {
+    return RetryAfterRoom(kRetryAfter, time_left, sample);
+  }
+  room->from = std::max(kRetryAfter, room->from);
+  const Return back = returns_.Grant(*room, time_left, sample, now);
+  CountReturns();
+  context_->metrics.Count(
+      "returns", back.has_place ? "told-with-place" : "told-without-place");
+  return back.after;
+}
+
+void ServiceQueue::CountReturns() {
+  const ReturnCounts& counts = returns_.counts();
+  for (; counted_returns_.used < counts.used; ++counted_returns_.used) {
+    context_->metrics.Count("returns", "place-used");
+  }
+  for (; counted_returns_.expired < counts.expired;
+       ++counted_returns_.expired) {
+    context_->metrics.Count("returns", "place-expired");
+  }
 }
 
 void ServiceQueue::ArmTimer() {
@@ -92,7 +129,7 @@
 void ServiceQueue::OnTimer() {
   const TimePoint now = SteadyClock::now();
   context_->OnDue(timer_.expiry(), now);
-  Refuse(waiting_.TakeOverdue(now));
+  Refuse(waiting_.TakeOverdue(now), 0);
   Search();
   ArmTimer();
 }
--- a/heatherlatch/traffic/service_queue.h
+++ b/heatherlatch/traffic/service_queue.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <vector>
 
+#include "heatherlatch/queueing/return_schedule.h"
 #include "heatherlatch/queueing/waiting_queue.h"
 #include "heatherlatch/steering/steering.h"
 #include "heatherlatch/traffic/server_search.h"
@@ -38,7 +39,8 @@
     std::function<bool(const FoundServers&, bool own_search)> place;
     std::function<void(ServerSearch::Done)> search;
     // Ends the request, which is no longer in the queue.
-    std::function<void()> refuse;
+    // @param at_arrival  whether it did not wait
+    std::function<void(bool at_arrival)> refuse;
   };
 
   ServiceQueue(TrafficContext* context, ServiceName service);
@@ -46,13 +48,21 @@
   // @return an ID for a request that may wait here
   std::uint64_t NextId() { return next_id_++; }
 
-  // Adds a request, or updates one that waits already.
+  // Notes a request of the service that arrives.
+  // @param priority    its rank, the lowest first
+  // @param may_return  whether its caller may have been refused before
+  ArrivalKind OnArrival(int priority, bool may_return, TimePoint now);
+
+  // Adds a request, or updates one that waits already. Refuses it at once if
+  // its turn would come too late, whatever it waits for.
   void Join(const WaitingRequest& request, Waiter waiter);
   // Removes a request, if it waits here.
   void Leave(std::uint64_t id);
 
   // Records that a request of the service was sent.
-  void OnSent(TimePoint now) { waiting_.OnSent(now); }
+  void OnSent(TimePoint now, const OrganisationName& organisation) {
+    waiting_.OnSent(now, organisation);
+  }
   // Offers a server that just reported its load to the waiting requests.
   void OnReading(const BackendServerName& server, TimePoint now);
 
@@ -66,7 +76,9 @@
   // Offers candidates to the waiting requests in their order.
   // @param searcher  the request that searched for them; 0: none
   void Offer(const FoundServers& found, std::uint64_t searcher);
-  void Refuse(const std::vector<std::uint64_t>& ids);
+  // @param arriving  the request that was just added; 0: none
+  void Refuse(const std::vector<std::uint64_t>& ids, std::uint64_t arriving);
+  void CountReturns();
   void ArmTimer();
   void OnTimer();
   void Search();
@@ -75,6 +87,8 @@
   TrafficContext* context_;
   ServiceName service_;
   WaitingQueue waiting_;
+  ReturnSchedule returns_;
+  ReturnCounts counted_returns_;  // That the metrics contain.
   std::map<std::uint64_t, Waiter> waiters_;
   std::uint64_t next_id_ = 1;
   std::uint64_t searcher_ = 0;        // The request that searches; 0: none.
--- a/heatherlatch/traffic/traffic_metrics.cc
+++ b/heatherlatch/traffic/traffic_metrics.cc
@@ -85,6 +85,7 @@
   request_time.AppendTo("request_seconds", &out);
   placement_time.AppendTo("placing_seconds", &out);
   server_time.AppendTo("server_seconds", &out);
+  queue_time.AppendTo("queue_seconds", &out);
   return out;
 }
 
--- a/heatherlatch/traffic/traffic_metrics.h
+++ b/heatherlatch/traffic/traffic_metrics.h
@@ -64,6 +64,8 @@
   LatencyHistogram
       placement_time;            // From a complete request to its first send.
   LatencyHistogram server_time;  // From a send to its response.
+  // From a complete request to the end of its wait for a server, if it waited.
+  LatencyHistogram queue_time;
 
  private:
   std::map<std::string, double, std::less<>> gauges_;
