--- a/heatherlatch/queueing/contention_test.cc
+++ b/heatherlatch/queueing/contention_test.cc
@@ -31,7 +31,7 @@
 constexpr std::size_t kSlots = 64;
 constexpr double kMeanServiceMs = 300;
 constexpr double kServiceTimeSpread = 0.3;
-constexpr double kSlowShare = 0.35;
+constexpr std::size_t kSlowSlots = 23;
 constexpr double kSlowdownFactor = 4;
 constexpr double kUsualPerSecond = 41;
 constexpr double kBurstFactor = 6;
@@ -87,7 +87,7 @@
         rng_(seed + kSeeds),
         hosts_(kHosts) {
     for (std::size_t i = 0; i < kSlots; ++i) {
-      free_.push_back(i < kSlowShare * kSlots ? kSlowdownFactor : 1.0);
+      free_.push_back(i < kSlowSlots ? kSlowdownFactor : 1.0);
     }
   }
 
@@ -259,8 +259,9 @@
                             TimeLeft(caller), Draw(&rng_));
     }
     auto room = host->queue.Room(now);
-    if (!room)
+    if (!room) {
       return RetryAfterRoom(kRetryAfter, TimeLeft(caller), Draw(&rng_));
+    }
     room->from = std::max(kRetryAfter, room->from);
     return host->returns.Grant(*room, TimeLeft(caller), Draw(&rng_), now).after;
   }
