Refuse uploads, not requests without a body, when the bytes of a queue are used up

Cause: beyond the bound on bytes, the queue refused the last requests in its order until the bytes sufficed, also those that hold none. Test: uploads beyond the bound do not displace requests without a body; it fails without the change.

--- a/heatherlatch/queueing/waiting_queue.cc
+++ b/heatherlatch/queueing/waiting_queue.cc
@@ -49,9 +49,15 @@
   }
   std::vector<std::uint64_t> order = Order(now);
   while (size() > limits_.max_requests || bytes_ > limits_.max_bytes) {
-    refused.push_back(order.back());
-    Remove(order.back());
-    order.pop_back();
+    // To refuse a request without a body would free no bytes.
+    const bool needs_bytes = size() <= limits_.max_requests;
+    const auto last =
+        std::find_if(order.rbegin(), order.rend(), [&](std::uint64_t id) {
+          return !needs_bytes || entries_.at(id).request.bytes > 0;
+        });
+    refused.push_back(*last);
+    Remove(*last);
+    order.erase(std::next(last).base());
   }
   return refused;
 }
--- a/heatherlatch/queueing/waiting_queue.h
+++ b/heatherlatch/queueing/waiting_queue.h
@@ -70,7 +70,8 @@
   // Adds a request, which keeps its place in the order of arrival if it waits
   // already.
   // @return the requests that must be refused so that the queue stays within
-  //     its bounds: the last ones in its order, which may include the added one
+  //     its bounds: the last ones in its order, which may include the added
+  //     one; if only bytes are over, the last ones that hold any
   std::vector<std::uint64_t> Add(const WaitingRequest& request, TimePoint now);
   void Remove(std::uint64_t id);
 
--- a/heatherlatch/queueing/waiting_queue_test.cc
+++ b/heatherlatch/queueing/waiting_queue_test.cc
@@ -216,6 +216,17 @@
   CHECK(queue.Order(kNow + std::chrono::seconds(30)).front() == 1);
 }
 
+TEST_CASE("uploads beyond the bound do not displace requests without a body") {
+  WaitingQueue queue({10, 100});
+  queue.Add(Request(1, 5, 100), kNow);
+  WaitingRequest upload = Request(2, 0, 200);
+  upload.bytes = 60;
+  queue.Add(upload, kNow);
+  upload.id = 3;
+  CHECK(queue.Add(upload, kNow) == Ids{3});
+  CHECK(queue.Contains(1));
+}
+
 TEST_CASE("a caller that leaves frees its place at once") {
   WaitingQueue queue({2, 100});
   WaitingRequest upload = Request(1, 0, 100);
