--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -119,6 +119,12 @@
   // Takes a token or waits for one, and then searches for a server.
   void SelectServerWithinAllotment();
   void OnAllotment(const BudgetAnswer& answer);
+  // Counts the request as an arrival at its service, once.
+  void NoteArrival();
+  // @return whether its caller was told to send it again, and did
+  bool ReturnedAsTold() const {
+    return arrival_kind_ && *arrival_kind_ != ArrivalKind::kNew;
+  }
   void RefuseBeyondAllotment(Duration retry_after);
   // Gives back the token of a request that was not sent.
   void ReturnAllotment();
@@ -169,7 +175,9 @@
   void Wait(const std::optional<Choice>& choice);
   // Adds the request to those that wait, or updates the bounds of its wait.
   void JoinQueue();
-  void RefuseAfterWait();
+  // Refuses the request because its turn would come too late.
+  // @param at_arrival  whether it did not wait
+  void RefuseForTurn(bool at_arrival);
   // @return when the caller may send the request again
   Duration RetryAfterWaiting();
   void LogNotPlaced(std::string_view reason,
@@ -257,6 +265,8 @@
   std::uint64_t queue_id_ = 0;  // 0: it has not waited.
   // Of a search that is about to start.
   std::optional<SearchScope> drawn_scope_;
+  // Absent: not counted as an arrival yet.
+  std::optional<ArrivalKind> arrival_kind_;
 
   std::vector<AttemptPtr> attempts_;  // In progress.
   std::set<BackendServerName> tried_;
--- a/heatherlatch/traffic/service_queue.h
+++ b/heatherlatch/traffic/service_queue.h
@@ -22,6 +22,7 @@
 #include <set>
 #include <vector>
 
+#include "heatherlatch/queueing/return_schedule.h"
 #include "heatherlatch/queueing/waiting_queue.h"
 #include "heatherlatch/steering/steering.h"
 #include "heatherlatch/traffic/server_search.h"
@@ -39,7 +40,8 @@
     std::function<bool(const FoundServers&, bool own_search)> place;
     std::function<void(ServerSearch::Done)> search;
     // Ends the request, which is no longer in the queue.
-    std::function<void()> refuse;
+    // @param at_arrival  whether it did not wait
+    std::function<void(bool at_arrival)> refuse;
   };
 
   ServiceQueue(TrafficContext* context, ServiceName service);
@@ -47,13 +49,21 @@
   // @return an ID for a request that may wait here
   std::uint64_t NextId() { return next_id_++; }
 
-  // Adds a request, or updates one that waits already.
+  // Notes a request of the service that arrives.
+  // @param priority    its rank, the lowest first
+  // @param may_return  whether its caller may have been refused before
+  ArrivalKind OnArrival(int priority, bool may_return, TimePoint now);
+
+  // Adds a request, or updates one that waits already. Refuses it at once if
+  // its turn would come too late, whatever it waits for.
   void Join(const WaitingRequest& request, Waiter waiter);
   // Removes a request, if it waits here.
   void Leave(std::uint64_t id);
 
   // Records that a request of the service was sent.
-  void OnSent(TimePoint now) { waiting_.OnSent(now); }
+  void OnSent(TimePoint now, const OrganisationName& organisation) {
+    waiting_.OnSent(now, organisation);
+  }
   // Has a waiting request search servers beyond the zone, beside the search of
   // the queue. The first request in the order that accepts one is sent.
   void SearchBeyondZone(std::uint64_t id);
@@ -77,7 +87,9 @@
   // @param most      how many of them may be sent
   void Offer(const FoundServers& found, std::uint64_t searcher,
              std::size_t most = std::numeric_limits<std::size_t>::max());
-  void Refuse(const std::vector<std::uint64_t>& ids);
+  // @param arriving  the request that was just added; 0: none
+  void Refuse(const std::vector<std::uint64_t>& ids, std::uint64_t arriving);
+  void CountReturns();
   void ArmTimer();
   void OnTimer();
   void Search();
@@ -86,6 +98,8 @@
   TrafficContext* context_;
   ServiceName service_;
   WaitingQueue waiting_;
+  ReturnSchedule returns_;
+  ReturnCounts counted_returns_;  // That the metrics contain.
   std::map<std::uint64_t, Waiter> waiters_;
   std::uint64_t next_id_ = 1;
   std::uint64_t searcher_ = 0;           // The request that searches; 0: none.
