Refuse a crashing content while no reader hears of it

Servers were crashed again by a content that other hosts knew: six retries later than 4 s after the third crash, three allowed. Cause: with the readers cut off no notice arrives, and each host that saw one crash runs the content again alone. Ruled out: the lifetime of notices; none was received at all.

A host now learns whether a reader received its notice. If none did, it refuses the content and tells them again each second.

--- a/heatherlatch/admission/crash_suspects.cc
+++ b/heatherlatch/admission/crash_suspects.cc
@@ -16,7 +16,7 @@
     return SuspectVerdict::kClear;
   }
   Suspect& suspect = found->second;
-  if (suspect.crashes >= options_.crashes_before_refusal) {
+  if (suspect.crashes >= options_.crashes_before_refusal || suspect.unshared) {
     return SuspectVerdict::kRefuse;
   }
   if (running_.count(key) > 0) return SuspectVerdict::kWait;
@@ -60,6 +60,19 @@
   suspect.last_crash = std::max(suspect.last_crash, now - notice.age);
 }
 
+void CrashSuspects::SetShared(const ServiceName& service, ContentDigest digest,
+                              bool shared) {
+  const auto found = suspects_.find({service, digest});
+  if (found != suspects_.end()) found->second.unshared = !shared;
+}
+
+bool CrashSuspects::IsUnshared(const ServiceName& service, ContentDigest digest,
+                               TimePoint now) const {
+  const auto found = suspects_.find({service, digest});
+  return found != suspects_.end() && found->second.unshared &&
+         !IsExpired(found->second, now);
+}
+
 void CrashSuspects::Expire(TimePoint now) {
   for (auto it = suspects_.begin(); it != suspects_.end();) {
     const bool is_removable =
--- a/heatherlatch/admission/crash_suspects.h
+++ b/heatherlatch/admission/crash_suspects.h
@@ -15,6 +15,9 @@
 // the one with the oldest crash, is evicted. Its content is then treated as
 // unknown again.
 //
+// A host that can tell no other host of a suspect refuses it after the first
+// crash: the others may run it as often as they may together.
+//
 // Suspects are shared between hosts by digest, which reveals nothing of the
 // content; the entry process shares them with hosts of the home regions only.
 //
@@ -44,7 +47,8 @@
   kClear,    // Not a suspect: run as usual.
   kIsolate,  // Run alone on a server.
   kWait,     // The same content is running; try again later.
-  kRefuse,   // Not run: it crashed a server that ran nothing else.
+  kRefuse,   // Not run: it crashed servers that ran nothing else, or one that
+             // no other host was told of.
 };
 
 // A suspect as shared between hosts.
@@ -89,6 +93,13 @@
   // kept. A notice past the retention period is ignored.
   void Merge(const SuspectNotice& notice, TimePoint now);
 
+  // Records whether another host that all hosts ask knows of a suspect. Until
+  // the first call it counts as known. Does nothing for any other content.
+  void SetShared(const ServiceName& service, ContentDigest digest, bool shared);
+  // @return whether the content is a suspect that no other host knows of
+  bool IsUnshared(const ServiceName& service, ContentDigest digest,
+                  TimePoint now) const;
+
   // Removes the suspects that are past the retention period, except those
   // running isolated.
   void Expire(TimePoint now);
@@ -99,6 +110,7 @@
   struct Suspect {
     int crashes = 0;
     bool isolated_running = false;
+    bool unshared = false;
     TimePoint last_crash;
   };
   using Key = std::pair<ServiceName, ContentDigest>;
--- a/heatherlatch/admission/crash_suspects_test.cc
+++ b/heatherlatch/admission/crash_suspects_test.cc
@@ -26,6 +26,19 @@
   suspects.OnEnd(kService, digest, /*server_lost=*/true, now);
 }
 
+TEST_CASE("a suspect that no other host knows of is refused") {
+  CrashSuspects suspects((CrashSuspectsOptions()));
+  const TimePoint now{std::chrono::hours(1)};
+  suspects.SetShared(kService, kCrashing, false);
+  CHECK_FALSE(suspects.IsUnshared(kService, kCrashing, now));
+  CrashWith(suspects, kCrashing, now);
+  suspects.SetShared(kService, kCrashing, false);
+  CHECK(suspects.IsUnshared(kService, kCrashing, now));
+  CHECK(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kRefuse);
+  suspects.SetShared(kService, kCrashing, true);
+  CHECK(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kIsolate);
+}
+
 // A request running on a server: the host that admitted it, and its content.
 struct Run {
   std::size_t host = 0;
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -43,6 +43,9 @@
 // received in batches: a sixth of the shortest bound on following a change.
 constexpr Duration kChangeBatchDelay = milliseconds(400);
 
+// How long after a notice of a crash that no reader received it is sent again.
+constexpr Duration kUnsharedSuspectInterval = std::chrono::seconds(1);
+
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
@@ -483,28 +486,79 @@
 void PublishedFeed::ShareSuspect(const SuspectNotice& notice) {
   if (!suspects_.Add(notice, SteadyClock::now())) return;
   RespondToPending(true);
-  for (const Endpoint& reader : context_->settings.seeds) {
-    if (reader != context_->settings.peer_listen) SendSuspect(reader, notice);
+  TellReaders(notice);
+}
+
+void PublishedFeed::TellReaders(const SuspectNotice& notice) {
+  if (stopped_) return;
+  const Endpoint& self = context_->settings.peer_listen;
+  std::vector<Endpoint> readers = context_->settings.seeds;
+  const auto others_end = std::remove(readers.begin(), readers.end(), self);
+  // Other hosts ask a reader for its notices.
+  const bool is_reader = others_end != readers.end() || readers.empty();
+  readers.erase(others_end, readers.end());
+  const auto missing = std::make_shared<std::size_t>(readers.size());
+  const auto told = std::make_shared<bool>(is_reader);
+  for (const Endpoint& reader : readers) {
+    SendSuspect(reader, notice, [this, notice, missing, told](bool responded) {
+      *told = *told || responded;
+      if (--*missing == 0) OnReadersTold(notice, *told);
+    });
+  }
+}
+
+void PublishedFeed::OnReadersTold(const SuspectNotice& notice, bool told) {
+  CrashSuspects& suspects = context_->suspects;
+  const TimePoint now = SteadyClock::now();
+  const bool was_unshared =
+      suspects.IsUnshared(notice.service, notice.digest, now);
+  suspects.SetShared(notice.service, notice.digest, told);
+  if (was_unshared == told) {
+    context_->metrics.Count("suspects", told ? "shared" : "unshared");
+    context_->log.Write(told ? "suspect-shared" : "suspect-unshared",
+                        {{"service", notice.service.str()},
+                         {"digest", std::to_string(notice.digest)}});
   }
+  if (!suspects.IsUnshared(notice.service, notice.digest, now)) return;
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      *context_->io, kUnsharedSuspectInterval);
+  timer->async_wait(
+      [this, notice, timer](const boost::system::error_code& error) {
+        if (error || !context_->suspects.IsUnshared(
+                         notice.service, notice.digest, SteadyClock::now())) {
+          return;
+        }
+        SuspectNotice later = notice;
+        later.age += kUnsharedSuspectInterval;
+        TellReaders(later);
+      });
 }
 
 void PublishedFeed::SendSuspect(const Endpoint& reader,
-                                const SuspectNotice& notice) {
+                                const SuspectNotice& notice,
+                                std::function<void(bool)> done) {
   FeedRequest query;
   query.requester = context_->settings.peer_listen;
   query.after_revision = items_.revision();
   query.suspects = {notice};
   const auto connection = context_->connections.Open(reader);
-  connection->Call(
-      {BuildPeerRequest(reader, query)}, ResponseBounds(),
-      [this, reader](const CallResult& result) {
-        if (std::holds_alternative<ServerResponse>(result)) return;
-        context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
-      });
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kPeerResponseMargin);
-  timer->async_wait([connection, timer](const boost::system::error_code&) {
+  const auto ended = std::make_shared<bool>(false);
+  const auto end = [this, reader, ended, done = std::move(done)](bool told) {
+    if (std::exchange(*ended, true)) return;
+    if (!told) {
+      context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
+    }
+    done(told);
+  };
+  connection->Call({BuildPeerRequest(reader, query)}, ResponseBounds(),
+                   [end](const CallResult& result) {
+                     end(std::holds_alternative<ServerResponse>(result));
+                   });
+  timer->async_wait([connection, timer, end](const boost::system::error_code&) {
     connection->Cancel();
+    end(false);
   });
 }
 
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -115,7 +115,13 @@
   void Merge(const FeedPage& page, int hops);
   void QueryAfter(Duration delay);
 
-  void SendSuspect(const Endpoint& reader, const SuspectNotice& notice);
+  // Sends a notice to the other readers, again and again while the host is no
+  // reader and none of them responds.
+  void TellReaders(const SuspectNotice& notice);
+  // @param done  called once with whether the reader responded
+  void SendSuspect(const Endpoint& reader, const SuspectNotice& notice,
+                   std::function<void(bool)> done);
+  void OnReadersTold(const SuspectNotice& notice, bool told);
   void MergeSuspects(const std::vector<SuspectNotice>& notices);
   FeedResponse BuildPeerResponse(std::uint64_t after_revision,
                                  TimePoint received_at) const;
