Let a host use a subset of a service's servers

Change: with the new setting server_subset, a host draws from one slice of the servers of each distance. The slice follows from the number in the host's name, so that hosts without a common list fill the slices evenly (at most one host more a slice). All servers are used while a request waits and for a second after. Absent, nothing changes but the counters.

--- a/heatherlatch/settings/traffic_host_settings.cc
+++ b/heatherlatch/settings/traffic_host_settings.cc
@@ -20,6 +20,8 @@
 constexpr Range<double> kRetryShareRange{0, 1};
 constexpr Range<double> kProbesRange{1, 10'000};
 constexpr Range<double> kMemoryLimitRange{32, 1'000'000};
+// A host draws up to six servers for a request.
+constexpr Range<double> kServerSubsetRange{6, 10'000};
 constexpr double kBytesPerMegabyte = 1'000'000;
 
 void ReadMemoryLimit(MappingReader* reader, TrafficHostSettings* settings) {
@@ -30,6 +32,12 @@
       static_cast<std::uint64_t>(*megabytes * kBytesPerMegabyte);
 }
 
+void ReadServerSubset(MappingReader* reader, TrafficHostSettings* settings) {
+  const std::optional<double> servers =
+      reader->Number("server_subset", kOptional, kServerSubsetRange);
+  if (servers) settings->server_subset = static_cast<std::size_t>(*servers);
+}
+
 void ReadZones(MappingReader* reader, TrafficHostSettings* settings) {
   const std::optional<YAML::Node> zones = reader->Mapping("zones", kRequired);
   if (!zones) return;
@@ -77,6 +85,7 @@
                   &settings.retry_share);
   AssignIfPresent(reader.Number("probes_per_second", kOptional, kProbesRange),
                   &settings.probes_per_second);
+  ReadServerSubset(&reader, &settings);
   settings.key_validity =
       reader.Time("key_validity", kOptional, kKeyValidityRange);
   ReadMemoryLimit(&reader, &settings);
--- a/heatherlatch/settings/traffic_host_settings.h
+++ b/heatherlatch/settings/traffic_host_settings.h
@@ -8,6 +8,7 @@
 #ifndef HEATHERLATCH_SETTINGS_TRAFFIC_HOST_SETTINGS_H_
 #define HEATHERLATCH_SETTINGS_TRAFFIC_HOST_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -50,6 +51,9 @@
   // Health and load probes that one server may receive a second from all hosts
   // together.
   double probes_per_second = 60;
+  // Servers of a service that the host uses at each distance while they have
+  // room (steering/server_subset.h). Absent: all.
+  std::optional<std::size_t> server_subset;
   // How long after an operator took a key of an organisation away hosts may
   // still accept it, whatever they are cut off from. Absent: until they learn
   // of it.
--- a/heatherlatch/settings/traffic_host_settings_test.cc
+++ b/heatherlatch/settings/traffic_host_settings_test.cc
@@ -43,6 +43,7 @@
   CHECK(settings.retry_share == 0.2);
   CHECK(settings.probes_per_second == 45);
   CHECK(settings.memory_limit_bytes == 260'000'000);
+  CHECK_FALSE(settings.server_subset.has_value());
 }
 
 TEST_CASE("a memory limit that the platform leaves empty has its default") {
@@ -54,6 +55,14 @@
         TrafficHostSettings().memory_limit_bytes);
 }
 
+TEST_CASE("the size of the subset of servers is read, and at least six") {
+  const std::string text = kFile;
+  const auto result = ReadTrafficHostSettings(text + "server_subset: 9\n");
+  REQUIRE(std::holds_alternative<TrafficHostSettings>(result));
+  CHECK(std::get<TrafficHostSettings>(result).server_subset == std::size_t{9});
+  CHECK(FindingsOf(text + "server_subset: 5\n").size() == 1);
+}
+
 TEST_CASE("a memory limit that is no number or too small is reported") {
   for (const char* value : {": MB", ": 3"}) {
     std::string text = kFile;
--- a/heatherlatch/steering/steering.h
+++ b/heatherlatch/steering/steering.h
@@ -39,6 +39,7 @@
   bool connected = false;              // An idle connection is open.
   bool probe_pending = false;          // A load probe is in flight.
   bool not_listening = false;          // Nothing listens at its address.
+  bool in_subset = false;              // Of the host (server_subset.h).
   std::optional<LoadReading> reading;  // Absent: no probe response.
   int sent_since_reading = 0;          // By this host, not in the reading.
 };
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -490,6 +490,10 @@
   }
   context_->observations.OnSent(server.name, now);
   context_->cold_permits.Use(server.name);
+  if (context_->settings.server_subset) {
+    context_->metrics.Count("subset_sends",
+                            candidate.in_subset ? "member" : "other");
+  }
   context_->ProbeBudgetFor(service_).OnSent(now);
   queue().Leave(queue_id_);
   queue().OnSent(now);
@@ -504,6 +508,9 @@
                        : -1},
        {"slowness", candidate.reading ? candidate.reading->slowdown : -1},
        {"queued", static_cast<double>(queue().size())},
+       {"member", context_->settings.server_subset
+                      ? LogValue(candidate.in_subset)
+                      : std::monostate()},
        {"expected_ms", ToMilliseconds(expected)},
        {"send", static_cast<double>(sends_)},
        {"waits", static_cast<double>(deferrals_)},
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -27,6 +27,7 @@
 
 void LoadProber::ProbeOverNewConnection(const ServerRecord& server,
                                         std::function<void(LoadReply)> done) {
+  context_->metrics.Count("server_connections", "opened");
   ProbeOver(context_->connections.Open(server.endpoint), server,
             std::move(done));
 }
--- a/heatherlatch/traffic/server_connection_pool.cc
+++ b/heatherlatch/traffic/server_connection_pool.cc
@@ -30,8 +30,10 @@
     if (!IsFit(*connection, limit, now)) break;
     if (connection->MayRepeatResponseTo(request_id)) continue;
     kept.erase(position);
+    metrics_->Count("server_connections", "kept");
     return connection;
   }
+  metrics_->Count("server_connections", "opened");
   return Open(endpoint);
 }
 
--- a/heatherlatch/traffic/server_connection_pool.h
+++ b/heatherlatch/traffic/server_connection_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "heatherlatch/traffic/client_connection.h"
+#include "heatherlatch/traffic/traffic_metrics.h"
 
 namespace heatherlatch {
 
@@ -27,10 +28,12 @@
 
 class ServerConnectionPool {
  public:
-  // @param budget  from which the bodies of responses are taken
+  // @param budget   from which the bodies of responses are taken
+  // @param metrics  counts what `Acquire` returns
   ServerConnectionPool(boost::asio::io_context* io,
-                       std::shared_ptr<ByteBudget> budget)
-      : io_(io), budget_(std::move(budget)) {}
+                       std::shared_ptr<ByteBudget> budget,
+                       TrafficMetrics* metrics)
+      : io_(io), budget_(std::move(budget)), metrics_(metrics) {}
 
   // @param fresh_only  whether to apply `kNonIdempotentIdleLimit`
   // @param request_id  the request that the connection is to carry; empty for
@@ -60,6 +63,7 @@
  private:
   boost::asio::io_context* io_;
   std::shared_ptr<ByteBudget> budget_;
+  TrafficMetrics* metrics_;
   std::map<Endpoint, std::vector<std::shared_ptr<ClientConnection>>> idle_;
 };
 
--- a/heatherlatch/traffic/server_search.cc
+++ b/heatherlatch/traffic/server_search.cc
@@ -4,6 +4,8 @@
 #include <boost/range/algorithm_ext/erase.hpp>
 #include <map>
 
+#include "heatherlatch/traffic/service_queue.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -75,6 +77,7 @@
   std::vector<Candidate> eligible = subject_.eligible();
   context_->ProbeBudgetFor(subject_.service)
       .SetServers(eligible.size(), MeanOutstanding(eligible));
+  KeepPreferred(&eligible);
   std::vector<Candidate> drawn =
       DrawCandidates(std::move(eligible), kCandidatesDrawn, &context_->rng);
   const bool in_other_region = !drawn.empty() && IsInOtherRegion(drawn.front());
@@ -83,6 +86,24 @@
         in_other_region ? kProbeTimeoutBetweenRegions : kProbeTimeoutInRegion);
 }
 
+void ServerSearch::KeepPreferred(std::vector<Candidate>* eligible) const {
+  const std::optional<std::size_t>& size = context_->settings.server_subset;
+  if (!size || subject_.needs_idle_server) return;
+  const TimePoint now = SteadyClock::now();
+  SubsetWidening& widening = context_->SubsetWideningFor(subject_.service);
+  if (!context_->QueueFor(subject_.service).empty() &&
+      widening.OnPressure(now)) {
+    context_->metrics.Count("server_subset", "widened");
+    context_->log.Write("subset-widened",
+                        {{"service", subject_.service.str()},
+                         {"servers", static_cast<double>(eligible->size())}});
+  }
+  if (widening.IsWide(now)) return;
+  KeepSubset(context_->settings.name, *size, eligible);
+  context_->metrics.SetGauge("server_subset_size",
+                             static_cast<double>(eligible->size()));
+}
+
 void ServerSearch::Cancel() {
   ++round_;
   timer_.cancel();
--- a/heatherlatch/traffic/server_search.h
+++ b/heatherlatch/traffic/server_search.h
@@ -63,6 +63,9 @@
   void Cancel();
 
  private:
+  // Leaves the servers that this host prefers for the service, unless requests
+  // of the service wait for a server.
+  void KeepPreferred(std::vector<Candidate>* eligible) const;
   // Starts probes within the budget of the service. Candidates of which the
   // load is neither known nor may be probed are dropped.
   void Probe(std::vector<Candidate> drawn, Duration timeout);
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -25,6 +25,7 @@
 #include "heatherlatch/routing/table_confirmation.h"
 #include "heatherlatch/settings/traffic_host_settings.h"
 #include "heatherlatch/steering/probe_budget.h"
+#include "heatherlatch/steering/server_subset.h"
 #include "heatherlatch/steering/steering.h"
 #include "heatherlatch/traffic/decision_log.h"
 #include "heatherlatch/traffic/route_statistics.h"
@@ -69,6 +70,10 @@
   RetryBudget& RetryBudgetFor(const ServiceName& service);
   // @return this host's share of the probes of a service
   ProbeBudget& ProbeBudgetFor(const ServiceName& service);
+  // @return when this host uses more than its subset of a service's servers
+  SubsetWidening& SubsetWideningFor(const ServiceName& service) {
+    return widenings_[service];
+  }
   // @return the requests of a service that wait at this host
   ServiceQueue& QueueFor(const ServiceName& service);
   // @return the requests of all services that wait at this host
@@ -134,6 +139,7 @@
 
   std::map<ServiceName, RetryBudget> retries_;
   std::map<ServiceName, ProbeBudget> probes_;
+  std::map<ServiceName, SubsetWidening> widenings_;
   std::map<ServiceName, std::unique_ptr<ServiceQueue>> queues_;
   // Expires when requests are no longer held for the first configuration.
   boost::asio::steady_timer first_configuration_;
