--- a/heatherlatch/steering/server_subset_test.cc
+++ b/heatherlatch/steering/server_subset_test.cc
@@ -128,22 +128,18 @@
   return 1 - static_cast<double>(common) / static_cast<double>(total);
 }
 
-TEST_CASE("one server that comes or goes changes few members") {
+TEST_CASE("servers that come or go change few members") {
+  const auto servers = Servers(70, Distance::kSameZone);
   for (int gone = 0; gone < 70; ++gone) {
-    const auto servers = Servers(70, Distance::kSameZone);
     auto fewer = servers;
     fewer.erase(fewer.begin() + gone);
-    CAPTURE(gone);
     CHECK(Changed(servers, fewer) < 0.1);
     CHECK(Changed(fewer, servers) < 0.1);
   }
-}
-
-TEST_CASE("a tenth of the servers that comes or goes changes few members") {
-  const auto servers = Servers(120, Distance::kSameZone);
-  const auto fewer = Servers(108, Distance::kSameZone, 12);
-  CHECK(Changed(servers, fewer) < 0.25);
-  CHECK(Changed(fewer, servers) < 0.25);
+  const auto more = Servers(120, Distance::kSameZone);
+  const auto nine_tenths = Servers(108, Distance::kSameZone, 12);
+  CHECK(Changed(more, nine_tenths) < 0.25);
+  CHECK(Changed(nine_tenths, more) < 0.25);
 }
 
 TEST_CASE("twice the slices halve each subset and move no other member") {
@@ -167,18 +163,12 @@
   CHECK(used.size() == 64);
 }
 
-TEST_CASE("a host that starts or stops moves no member of another") {
-  const auto servers = Servers(70, Distance::kSameZone);
+TEST_CASE("a subset depends on its host and the set of servers alone") {
+  auto servers = Servers(70, Distance::kSameZone);
   const Members before = SubsetOf(Host(7), kSize, servers);
   CHECK(SubsetOf(Host(8), kSize, servers) != before);
-  CHECK(SubsetOf(Host(7), kSize, servers) == before);
-}
-
-TEST_CASE("the order in which servers are listed does not matter") {
-  auto servers = Servers(70, Distance::kSameZone);
-  const Members before = SubsetOf(Host(3), kSize, servers);
   std::reverse(servers.begin(), servers.end());
-  CHECK(SubsetOf(Host(3), kSize, servers) == before);
+  CHECK(SubsetOf(Host(7), kSize, servers) == before);
 }
 
 TEST_CASE("servers that failed are replaced until they are used again") {
