Count the longest wait lately when leaving the zone is weighed

The longest wait now fades by half in 0.5 s. Without that the new case of zone_overflow_test fails (scratch build). The gauges are now set when the metrics are read.

zone_room_test passes.

--- a/heatherlatch/traffic/overflow_control.cc
+++ b/heatherlatch/traffic/overflow_control.cc
@@ -11,7 +11,6 @@
 
 // Change of a share that is logged.
 constexpr double kLoggedChange = 0.1;
-constexpr double kThousandths = 1000;
 
 // Adds the servers of a zone to those of a place.
 void AddZone(const ZoneRoom& room, int slots, OverflowPlace* place) {
@@ -42,10 +41,7 @@
                                   TimePoint now) {
   const auto& prices = context_->settings.zone_overflow;
   if (!prices) {
-    if (!entries_.empty()) {
-      entries_.clear();
-      SetGauges();
-    }
+    entries_.clear();
     return SearchScope::kNearest;
   }
   const Key key(subject.service, subject.route.name);
@@ -93,23 +89,20 @@
   return input;
 }
 
-void OverflowControl::SetGauges() {
+OverflowShares OverflowControl::HighestShares() const {
   OverflowShares highest;
-  for (const auto& [other, each] : entries_) {
-    highest.region = std::max(highest.region, each.overflow.shares().region);
+  for (const auto& [key, entry] : entries_) {
+    const OverflowShares& shares = entry.overflow.shares();
+    highest.region = std::max(highest.region, shares.region);
     highest.other_regions =
-        std::max(highest.other_regions, each.overflow.shares().other_regions);
+        std::max(highest.other_regions, shares.other_regions);
   }
-  context_->metrics.SetGauge("zone_overflow_region_thousandths",
-                             highest.region * kThousandths);
-  context_->metrics.SetGauge("zone_overflow_other_regions_thousandths",
-                             highest.other_regions * kThousandths);
+  return highest;
 }
 
 void OverflowControl::Log(const Key& key, const OverflowInput& input,
                           OverflowReason reason, Entry* entry) {
   const OverflowShares& shares = entry->overflow.shares();
-  SetGauges();
   const auto changed = [](double from, double to) {
     return std::abs(from - to) >= kLoggedChange || (from > 0 && to <= 0);
   };
--- a/heatherlatch/traffic/overflow_control.h
+++ b/heatherlatch/traffic/overflow_control.h
@@ -36,6 +36,9 @@
   // @return where the search for a server of the request begins
   SearchScope Draw(const OverflowSubject& subject, TimePoint now);
 
+  // @return the highest present share of any route, for each distance
+  OverflowShares HighestShares() const;
+
  private:
   using Key = std::pair<ServiceName, RouteName>;
   struct Entry {
@@ -44,7 +47,6 @@
   };
 
   OverflowInput Gather(const OverflowSubject& subject, TimePoint now) const;
-  void SetGauges();
   void Log(const Key& key, const OverflowInput& input, OverflowReason reason,
            Entry* entry);
 
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -14,6 +14,8 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+constexpr double kThousandths = 1000;
+
 // A tenth of the shortest idle timeout.
 constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(500);
 
@@ -119,6 +121,11 @@
                             static_cast<double>(held.capacity()));
   context_.metrics.SetGauge("waiting_requests",
                             static_cast<double>(context_.WaitingRequests()));
+  const OverflowShares shares = context_.overflow.HighestShares();
+  context_.metrics.SetGauge("zone_overflow_region_thousandths",
+                            shares.region * kThousandths);
+  context_.metrics.SetGauge("zone_overflow_other_regions_thousandths",
+                            shares.other_regions * kThousandths);
   return context_.metrics.Text();
 }
 
--- a/heatherlatch/zone_room/zone_overflow.cc
+++ b/heatherlatch/zone_room/zone_overflow.cc
@@ -155,7 +155,14 @@
                                        : 1;
   const double steps = std::clamp(intervals, 0.0, kMostIntervals);
   updated_at_ = now;
-  const OverflowTarget target = DecideOverflow(input, prices);
+  const double fading =
+      std::exp2(-intervals * ToMilliseconds(kOverflowInterval) /
+                ToMilliseconds(kWaitHalfLife));
+  OverflowInput with_wait = input;
+  Duration& wait = with_wait.demand.wait_at_home;
+  wait = std::max(wait, Scale(wait_at_home_, std::min(fading, 1.0)));
+  wait_at_home_ = wait;
+  const OverflowTarget target = DecideOverflow(with_wait, prices);
   shares_.region = Step(shares_.region, target.shares.region, sample, steps);
   shares_.other_regions =
       Step(shares_.other_regions, target.shares.other_regions, sample, steps);
--- a/heatherlatch/zone_room/zone_overflow.h
+++ b/heatherlatch/zone_room/zone_overflow.h
@@ -90,6 +90,10 @@
 // How often a host changes its shares.
 inline constexpr Duration kOverflowInterval = std::chrono::milliseconds(100);
 
+// Time in which the longest wait at home falls to a half. The queue of a host
+// is empty at times while its zone is short of servers.
+inline constexpr Duration kWaitHalfLife = std::chrono::milliseconds(500);
+
 // Part of the slots of a zone that is left to its own callers. Servers slow
 // down above four fifths of their slots.
 inline constexpr double kOverflowReserve = 0.25;
@@ -124,6 +128,7 @@
 
  private:
   OverflowShares shares_;
+  Duration wait_at_home_{};  // The longest lately.
   std::optional<TimePoint> updated_at_;
 };
 
--- a/heatherlatch/zone_room/zone_overflow_test.cc
+++ b/heatherlatch/zone_room/zone_overflow_test.cc
@@ -65,7 +65,7 @@
     for (; now_ < start_ + seconds(10); now_ += kTick) {
       Arrive();
       if (!Early(now_) && outcomes_.recovered == 0 &&
-          zones_[0].running.size() < kRecovered * kServers * kSlots) {
+          Taken(zones_[0]) < kRecovered) {
         outcomes_.recovered = static_cast<int>((now_ - start_) / kTenth);
       }
       for (int zone : {0, 1}) Serve(zone);
@@ -92,6 +92,9 @@
     std::vector<Request> running;
   };
 
+  static double Taken(const Zone& zone) {
+    return static_cast<double>(zone.running.size()) / (kServers * kSlots);
+  }
   bool Early(TimePoint time) const { return time < start_ + seconds(5); }
   double Sample() { return std::uniform_real_distribution<double>(0, 1)(rng_); }
 
@@ -164,8 +167,7 @@
     }
     if (index == 1) {
       outcomes_.most_taken_in_south =
-          std::max(outcomes_.most_taken_in_south,
-                   zone.running.size() / double{kServers * kSlots});
+          std::max(outcomes_.most_taken_in_south, Taken(zone));
     }
   }
 
@@ -271,6 +273,18 @@
   CHECK(target.shares.region + target.shares.other_regions == 0);
 }
 
+TEST_CASE("a queue that is empty for a moment does not call requests back") {
+  OverflowInput input = ShortAtHome();
+  ZoneOverflow overflow;
+  TimePoint now{std::chrono::hours(1)};
+  for (int i = 0; i < 40; ++i, now += kOverflowInterval) {
+    input.demand.wait_at_home = milliseconds(i % 4 == 0 ? 600 : 0);
+    overflow.Update(input, kPrices, 0.5, now);
+  }
+  const OverflowShares target = DecideOverflow(ShortAtHome(), kPrices).shares;
+  CHECK(overflow.shares().other_regions > 0.5 * target.other_regions);
+}
+
 TEST_CASE("a zone of which nothing was heard lately counts as free") {
   OverflowInput input = ShortAtHome();
   input.home.trust = 0;
