Tell callers of little patience to come back once the queue is drained

Cause: without room, callers were told the later half of the time for which they wait.

Change: callers that wait for less than a second are told when the requests that wait now have been sent.

--- a/heatherlatch/queueing/return_schedule.cc
+++ b/heatherlatch/queueing/return_schedule.cc
@@ -13,6 +13,10 @@
 // time left.
 constexpr double kMaxReturnInLatencyTargets = 2.5;
 
+// Callers that wait for less come back once the queue is drained: room comes
+// and goes within this time, as servers slow down and recover.
+constexpr Duration kShortPatience = std::chrono::seconds(1);
+
 std::int64_t SlotOf(TimePoint time) {
   return time.time_since_epoch() / ReturnSchedule::kSlot;
 }
@@ -36,15 +40,14 @@
   const std::int64_t first = SlotOf(room_from);
   // The last one that is over before the caller would no longer wait.
   const std::int64_t last = std::max(SlotOf(latest) - 1, SlotOf(now));
-  const auto tell = [&](std::int64_t slot, bool has_place) {
-    ++slots_[slot].told;
-    ++slots_[slot].missing;
-    if (has_place) {
-      ++slots_[slot].kept;
-      ++counts_.granted;
-    }
-    const TimePoint at = StartOf(slot) + Scale(kSlot, sample);
-    return Return{std::clamp(at - now, Duration::zero(), longest), has_place};
+  const auto tell_at = [&](TimePoint at) {
+    Slot& slot = slots_[SlotOf(at)];
+    ++slot.told;
+    ++slot.missing;
+    return Return{std::clamp(at - now, Duration::zero(), longest), false};
+  };
+  const auto tell = [&](std::int64_t slot) {
+    return tell_at(StartOf(slot) + Scale(kSlot, sample));
   };
   double told = 0;
   for (std::int64_t slot = first; slot <= last; ++slot) {
@@ -52,7 +55,15 @@
     if (found != slots_.end()) told += found->second.told;
     const double fits =
         room.per_second * Seconds(StartOf(slot + 1) - room_from);
-    if (told + 1 <= fits) return tell(slot, true);
+    if (told + 1 > fits) continue;
+    ++slots_[slot].kept;
+    ++counts_.granted;
+    return {tell(slot).after, true};
+  }
+  if (longest < kShortPatience) {
+    const Duration after =
+        std::min(Scale(room_from - now, 1 + sample / 2), longest);
+    return tell_at(now + after);
   }
   const std::int64_t from = SlotOf(now + longest / 2);
   std::int64_t best = last;
@@ -65,7 +76,7 @@
       best = slot;
     }
   }
-  return tell(best, false);
+  return tell(best);
 }
 
 ArrivalKind ReturnSchedule::OnArrival(bool may_return, TimePoint now) {
--- a/heatherlatch/queueing/return_schedule.h
+++ b/heatherlatch/queueing/return_schedule.h
@@ -58,7 +58,8 @@
 
   // Tells a refused caller when to come back: in the first slot that has room,
   // or, if there is none within the time for which callers wait, in the least
-  // used one of the later half of it.
+  // used one of the later half of it. Callers that wait for a short time only
+  // come back without a place once the requests that wait now have been sent.
   // @param time_left  until the caller's deadline; a caller waits for a third
   // @param sample     uniformly distributed in [0, 1)
   Return Grant(const ExpectedRoom& room, Duration time_left, double sample,
--- a/heatherlatch/queueing/waiting_queue_test.cc
+++ b/heatherlatch/queueing/waiting_queue_test.cc
@@ -272,6 +272,13 @@
   CHECK(schedule.counts().granted == 0);
 }
 
+TEST_CASE("without room, callers of little patience follow those that wait") {
+  ReturnSchedule schedule;
+  const Return back = schedule.Grant(Room(300, 0), milliseconds(2500), 0, kNow);
+  CHECK_FALSE(back.has_place);
+  CHECK(back.after == milliseconds(300));
+}
+
 TEST_CASE("a place is used once, from its slot on, or it expires") {
   ReturnSchedule schedule;
   schedule.Grant(Room(500, 10), std::chrono::seconds(6), 0, kNow);
