--- a/review/lab-2/case_suspects.cc
+++ b/review/lab-2/case_suspects.cc
@@ -2,6 +2,7 @@
 // trouble, by the second argument:
 //   restart  single host processes are killed and started again
 //   split    the configuration splits the route of the request
+//   cut      the three readers of the store are cut off from the other hosts
 #include <array>
 #include <random>
 #include <thread>
@@ -15,6 +16,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kHosts = 4;
+constexpr std::size_t kHostsWithCut = 12;
 constexpr std::size_t kReaders = 3;
 constexpr std::size_t kWorkersOfService = 8;
 constexpr std::array<const char*, 3> kServices = {"katalog-svc", "tally-svc",
@@ -23,6 +25,7 @@
 constexpr milliseconds kStableWindow(4000);
 constexpr int kCrashesBefore = 3;   // The rule counts from the third crash.
 constexpr int kAllowedRetries = 3;  // After it.
+constexpr double kCutS = 12;
 constexpr seconds kWorkerRestart(3);
 // Three heartbeats of silence, after which the store drops an entry.
 constexpr milliseconds kEntryLifetime(4500);
@@ -38,7 +41,8 @@
   Scenario(const std::string& path, std::string trouble)
       : record_(path),
         trouble_(std::move(trouble)),
-        deployment_(kHosts, kReaders) {}
+        hosts_(trouble_ == "cut" ? kHostsWithCut : kHosts),
+        deployment_(hosts_, kReaders) {}
 
   int Run() {
     for (const char* service : kServices) {
@@ -48,13 +52,11 @@
     std::thread maintenance([this] { MaintainWorkers(); });
     std::thread traffic([this] { SendTraffic(); });
     std::this_thread::sleep_for(seconds(3));
-    for (std::size_t i = 0; i < kHosts; ++i) SendCrashing(i);
-    for (std::size_t i = 0; i < kHosts; ++i) SendCrashing(i);
-    std::this_thread::sleep_for(seconds(5));
-    if (trouble_ == "split") {
-      SplitRoute();
+    if (trouble_ == "cut") {
+      CutReaders();
     } else {
-      RestartHosts();
+      CrashThree();
+      trouble_ == "split" ? SplitRoute() : RestartHosts();
     }
     stopped_ = true;
     traffic.join();
@@ -63,6 +65,34 @@
   }
 
  private:
+  void CrashThree() {
+    for (std::size_t i = 0; i < kHosts; ++i) SendCrashing(i);
+    for (std::size_t i = 0; i < kHosts; ++i) SendCrashing(i);
+    std::this_thread::sleep_for(seconds(5));
+  }
+
+  int Crashes() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return static_cast<int>(arrivals_.size());
+  }
+
+  // The hosts that are not cut off get the request, one after the other.
+  void CutReaders() {
+    const double began = record_.Now();
+    if (IsTroubled()) {
+      record_.Line("the readers are cut off from the other hosts");
+      deployment_.CutReaders(true);
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    std::size_t next = kReaders;
+    while (next < hosts_ && Crashes() < kCrashesBefore) SendCrashing(next++);
+    std::this_thread::sleep_for(kStableWindow + milliseconds(300));
+    while (next < hosts_ && record_.Now() - began < kCutS) SendCrashing(next++);
+    deployment_.CutReaders(false);
+    record_.Line("the cut ends");
+    std::this_thread::sleep_for(seconds(2));
+  }
+
   void RestartHosts() {
     for (std::size_t i = 1; i < kHosts; ++i) {
       if (IsTroubled()) Restart(i);
@@ -142,7 +172,7 @@
     std::mt19937 random(1);
     while (!stopped_) {
       const std::string id = RandomId();
-      HostProcess& host = deployment_.host(random() % kHosts);
+      HostProcess& host = deployment_.host(random() % hosts_);
       const Answer answer =
           CallOnce(host.caller_port(),
                    RequestHead("GET", "pull.example", "/" + id, id, 3000, ""),
@@ -200,6 +230,7 @@
 
   Record record_;
   const std::string trouble_;
+  const std::size_t hosts_;
   Deployment deployment_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::mutex mutex_;
--- a/review/lab-2/lab.cc
+++ b/review/lab-2/lab.cc
@@ -381,6 +381,23 @@
   return answer;
 }
 
+std::string Caller::ReadBytes(milliseconds timeout) {
+  const auto deadline = Clock::now() + timeout;
+  std::size_t end = std::string::npos;
+  while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
+    if (!Fill(deadline)) return "";
+  }
+  const std::string length =
+      FieldOf(buffer_.substr(0, end + 2), "Content-Length");
+  const std::size_t size = end + 4 + (length.empty() ? 0 : std::stoul(length));
+  while (buffer_.size() < size) {
+    if (!Fill(deadline)) return "";
+  }
+  const std::string bytes = buffer_.substr(0, size);
+  buffer_.erase(0, size);
+  return bytes;
+}
+
 std::string RequestHead(const std::string& method, const std::string& authority,
                         const std::string& target, const std::string& id,
                         int time_budget_ms, const std::string& more_fields) {
@@ -397,17 +414,49 @@
   return caller.Read(false, timeout);
 }
 
+Path::Path(std::uint16_t target) : target_(target) {
+  server_ = std::make_unique<RawServer>(
+      [this](RawConnection& connection) { Forward(connection); });
+}
+
+void Path::Forward(RawConnection& connection) {
+  // Each message between hosts is a head with a length and a body.
+  const auto pass = [this](const std::string& head) {
+    while (cut_) std::this_thread::sleep_for(milliseconds(20));
+    const std::string length = FieldOf(head, "Content-Length");
+    return length.empty() ? 0 : std::stoul(length);
+  };
+  Caller target(target_);
+  while (target.is_open()) {
+    const std::string head = connection.ReadRequest();
+    if (head.empty()) return;
+    const std::string body = connection.ReadBytes(pass(head));
+    if (!target.Send(head + body)) return;
+    const std::string answer = target.ReadBytes(std::chrono::seconds(5));
+    if (answer.empty()) return;
+    pass(answer);
+    if (!connection.Send(answer)) return;
+  }
+}
+
 Deployment::Deployment(std::size_t hosts, std::size_t readers) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "review-lab-XXXXXX").string();
   folder_ = mkdtemp(pattern.data());
   std::vector<std::string> seeds;
+  std::vector<std::string> seeds_by_path;
   for (std::size_t i = 0; i < hosts; ++i) {
     hosts_.push_back(std::make_unique<HostProcess>(
         "frontend-utara-a-" + std::to_string(i + 1), folder_));
-    if (i < readers) seeds.push_back(hosts_.back()->peer_endpoint());
+    if (i >= readers) continue;
+    seeds.push_back(hosts_.back()->peer_endpoint());
+    paths_.push_back(std::make_unique<Path>(hosts_.back()->peer_port()));
+    seeds_by_path.push_back(paths_.back()->endpoint());
+  }
+  for (std::size_t i = 0; i < hosts; ++i) {
+    hosts_[i]->Configure(store_.endpoint(),
+                         i < readers ? seeds : seeds_by_path);
   }
-  for (const auto& host : hosts_) host->Configure(store_.endpoint(), seeds);
 }
 
 Deployment::~Deployment() {
@@ -415,6 +464,10 @@
   if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(folder_);
 }
 
+void Deployment::CutReaders(bool is_cut) {
+  for (const auto& path : paths_) path->SetCut(is_cut);
+}
+
 void Deployment::PublishRoutes(const std::string& version,
                                const std::string& services) {
   store_.Put(wire::kRouteTableKey,
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -128,6 +128,7 @@
 
   const std::string& name() const { return name_; }
   std::uint16_t caller_port() const { return ports_[0]; }
+  std::uint16_t peer_port() const { return ports_[2]; }
   std::string peer_endpoint() const;
   pid_t pid() const { return pid_; }
   // @return resident anonymous memory in bytes; 0 if the process does not run
@@ -167,6 +168,8 @@
   bool Send(const std::string& bytes);
   // @param is_head  whether the response has no body
   Answer Read(bool is_head, std::chrono::milliseconds timeout);
+  // @return the bytes of one response with a length; empty if none came in time
+  std::string ReadBytes(std::chrono::milliseconds timeout);
 
  private:
   bool Fill(Clock::time_point deadline);
@@ -184,10 +187,28 @@
 Answer CallOnce(std::uint16_t port, const std::string& request,
                 std::chrono::milliseconds timeout);
 
+// Forwards the bytes of connections to an endpoint on loopback, until it is
+// cut: then nothing passes, and connections stay open in silence.
+class Path {
+ public:
+  explicit Path(std::uint16_t target);
+
+  void SetCut(bool is_cut) { cut_ = is_cut; }
+  std::string endpoint() const { return ToString(server_->endpoint()); }
+
+ private:
+  void Forward(RawConnection& connection);
+
+  const std::uint16_t target_;
+  std::atomic<bool> cut_{false};
+  std::unique_ptr<RawServer> server_;
+};
+
 // The store, hosts and a temporary folder; ends all processes when destroyed.
 class Deployment {
  public:
-  // @param readers  hosts that read the store, the first ones
+  // @param readers  hosts that read the store, the first ones; the others reach
+  //                 them by paths that can be cut
   Deployment(std::size_t hosts, std::size_t readers);
   ~Deployment();
 
@@ -195,6 +216,9 @@
   // @return whether all hosts became ready
   bool Start(const std::vector<std::unique_ptr<Worker>>& workers);
 
+  // Cuts the readers off from all other hosts, or ends the cut.
+  void CutReaders(bool is_cut);
+
   // Publishes a version of the routes.
   // @param version   such as "r7"
   // @param services  a member of the route "catalogue-pull": where it goes
@@ -207,6 +231,7 @@
  private:
   std::string folder_;
   testing::PlatformStore store_;
+  std::vector<std::unique_ptr<Path>> paths_;  // To the readers.
   std::vector<std::unique_ptr<HostProcess>> hosts_;
 };
 
