--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,8 +4,8 @@
 # TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-[[ -x review/bin/case_attempts && -x target/bin/heatherlatch-host ]] || exit 2
-timeout --kill-after=2 116 review/bin/case_attempts review/9/record.txt
+[[ -x review/bin/case_suspects && -x target/bin/heatherlatch-host ]] || exit 2
+timeout --kill-after=2 116 review/bin/case_suspects review/9/record.txt split
 code=$?
 ((code == 0 || code == 1)) || exit 2
 exit "$code"
