--- a/review/lab-2/lab.cc
+++ b/review/lab-2/lab.cc
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <iomanip>
 #include <random>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -41,11 +42,14 @@
   return address;
 }
 
-// @return a free port below those of outgoing connections
+// @return a free port below those of outgoing connections, another one each
+//     time
 std::uint16_t FreePort() {
+  static std::set<std::uint16_t> given;
   std::uniform_int_distribution<int> ports(15000, 32000);
   while (true) {
     const auto port = static_cast<std::uint16_t>(ports(Random()));
+    if (!given.insert(port).second) continue;
     const int probe = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = Loopback(port);
     const bool free = bind(probe, reinterpret_cast<const sockaddr*>(&address),
