--- a/review/lab-2/lab.cc
+++ b/review/lab-2/lab.cc
@@ -12,7 +12,6 @@
 #include <filesystem>
 #include <iomanip>
 #include <random>
-#include <set>
 #include <sstream>
 #include <thread>
 
@@ -42,20 +41,30 @@
   return address;
 }
 
-// @return a free port below those of outgoing connections, another one each
-//     time
+// @return a socket that is bound to the port; -1 if that is not possible
+int Bind(std::uint16_t port, int reuse) {
+  const int bound = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt(bound, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  const sockaddr_in address = Loopback(port);
+  if (bind(bound, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) == 0) {
+    return bound;
+  }
+  close(bound);
+  return -1;
+}
+
+// @return a free port below those of outgoing connections. A socket stays bound
+//     to it without listening, so that no other script takes it; a host sets
+//     SO_REUSEADDR and can listen there.
 std::uint16_t FreePort() {
-  static std::set<std::uint16_t> given;
   std::uniform_int_distribution<int> ports(15000, 32000);
   while (true) {
     const auto port = static_cast<std::uint16_t>(ports(Random()));
-    if (!given.insert(port).second) continue;
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = Loopback(port);
-    const bool free = bind(probe, reinterpret_cast<const sockaddr*>(&address),
-                           sizeof(address)) == 0;
+    const int probe = Bind(port, 0);
+    if (probe < 0) continue;
     close(probe);
-    if (free) return port;
+    if (Bind(port, 1) >= 0) return port;
   }
 }
 
