Show that hosts refuse a route for good after a freeze

Each of two hosts stands still for 3.5 s under load on a route that was added; afterwards none of its requests is served, with idle servers.

--- a/review/lab-3/cases.h
+++ b/review/lab-3/cases.h
@@ -10,6 +10,9 @@
 // @param folder  of the case; the record is written there
 int RunForgottenSuspect(const std::string& folder);
 
+// Hosts freeze in turn and wake again, under load on a route that was added.
+int RunFrozenHost(const std::string& folder);
+
 // Some servers fail a part of their requests.
 int RunExtraServer(const std::string& folder);
 
--- a/review/lab-3/lab.cc
+++ b/review/lab-3/lab.cc
@@ -119,8 +119,7 @@
   if (mkdtemp(temporary_.data()) == nullptr) {
     throw std::runtime_error("no temporary folder");
   }
-  store_.Put(wire::kRouteTableKey,
-             ReadAll(kDataFolder + std::string("config.json")));
+  Publish("config.json");
   // Addresses of their own, so that no other process has their ports.
   const int process = getpid();
   const std::string network = "127." + std::to_string(1 + process / 250 % 250) +
@@ -254,6 +253,18 @@
           !Field(response.head, wire::kSignatureField).empty()};
 }
 
+void Lab::Freeze(std::size_t host, double seconds) {
+  Record("host " + std::to_string(host) + " freezes");
+  hosts_[host]->process->Signal(SIGSTOP);
+  Sleep(seconds);
+  hosts_[host]->process->Signal(SIGCONT);
+  Record("host " + std::to_string(host) + " wakes");
+}
+
+void Lab::Publish(const std::string& file) {
+  store_.Put(wire::kRouteTableKey, ReadAll(kDataFolder + file));
+}
+
 void Lab::PowerOff(std::size_t host, double seconds) {
   Host& off = *hosts_[host];
   off.start_at = steady_clock::now() +
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -61,6 +61,10 @@
   // Waits until a host is ready, and for the time after which it is in touch.
   void WaitUntilInTouch(std::size_t host) const;
 
+  // Stops a host for a while, as a machine that freezes and wakes again.
+  void Freeze(std::size_t host, double seconds);
+  // Publishes a configuration of the data folder.
+  void Publish(const std::string& file);
   // Does what the platform does to a process that exceeds its memory: kills it,
   // and starts it again after a short delay. To be called regularly.
   void EnforceMemory();
