--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,4 +9,3 @@
   name=$(basename "$source" .cc)
   g++ -std=c++17 -O1 -I. "$source" "${common[@]}" -o "review/bin/$name" -pthread
 done
-review/lab-3/build.sh
