Do not hedge a request beyond the attempts of its route

Cause: the first send arms the timer of a hedge. If its server fails the request, the request is sent again, and ArmHedge returned early because no attempt was left, without cancelling the timer of the first send. The timer fired while the second attempt ran, and neither its handler nor PlaceHedge looked at the number of sends. A search for a hedge that was under way when the attempt failed had the same effect.

Now ArmHedge cancels the timer of the earlier attempt first, and PlaceHedge checks the attempts. A hedge is the only send that does not pass TryTakeRetry, which checks them too.

Ruled out: connections that failed before a byte was sent, which do not count as sends and did not reach a server.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -567,7 +567,7 @@
   const bool meets_target =
       choice && choice->occupancy != Occupancy::kQueued &&
       Elapsed() + choice->expected + kCallerRoundTrip <= route_->latency_target;
-  if (!meets_target || attempts_.empty()) return;
+  if (!meets_target || attempts_.empty() || !HasAttemptsLeft()) return;
   if (!context_->RetryBudgetFor(service_).TryRetry()) return;
   context_->metrics.Count("sends", "second");
   Send(candidates[choice->index], choice->expected);
@@ -663,9 +663,9 @@
 }
 
 void Exchange::ArmHedge(Duration expected) {
-  if (!route_->idempotent || isolated_ || sends_ >= route_->max_attempts) {
-    return;
-  }
+  // The timer of an earlier attempt must not outlive it.
+  step_timer_.cancel();
+  if (!route_->idempotent || isolated_ || !HasAttemptsLeft()) return;
   step_timer_.expires_after(Scale(expected, kHedgeDelayFactor) +
                             kHedgeDelayMargin);
   step_timer_.async_wait(
@@ -829,7 +829,7 @@
 }
 
 bool Exchange::TryTakeRetry() {
-  return sends_ < route_->max_attempts && TimeLeft() > Duration::zero() &&
+  return HasAttemptsLeft() && TimeLeft() > Duration::zero() &&
          context_->RetryBudgetFor(service_).TryRetry();
 }
 
