Count the crashes of a content over all services

Cause: CrashSuspects and SharedSuspects had the service and the digest as their key, so each service counted to three by itself.

Now the digest alone is the key. It includes what the caller addressed (the host name; at heatherlatch-entry, which had the same key, the route), so that equal paths of two hosts stay two contents. The service of a notice remains, for the log and for hosts of an earlier version; while both versions run they do not recognise each other's digests.

--- a/heatherlatch/relay/shared_suspects.cc
+++ b/heatherlatch/relay/shared_suspects.cc
@@ -8,8 +8,7 @@
 bool SharedSuspects::Add(const SuspectNotice& notice, TimePoint now) {
   Prune(now);
   if (notice.crashes <= 0 || notice.age >= kSuspectNoticeLifetime) return false;
-  const Key key(notice.service, notice.digest);
-  const auto found = entries_.find(key);
+  const auto found = entries_.find(notice.digest);
   if (found != entries_.end() && found->second.crashes >= notice.crashes) {
     return false;
   }
@@ -20,16 +19,16 @@
         });
     entries_.erase(oldest);
   }
-  entries_[key] = {notice.crashes, now - notice.age};
+  entries_[notice.digest] = {notice.service, notice.crashes, now - notice.age};
   return true;
 }
 
 std::vector<SuspectNotice> SharedSuspects::Recent(TimePoint now) const {
   std::vector<SuspectNotice> recent;
-  for (const auto& [key, entry] : entries_) {
+  for (const auto& [digest, entry] : entries_) {
     const Duration age = now - entry.crashed_at;
     if (age >= kSuspectNoticeLifetime) continue;
-    recent.push_back({key.second, key.first, entry.crashes, age});
+    recent.push_back({digest, entry.service, entry.crashes, age});
   }
   return recent;
 }
--- a/heatherlatch/relay/shared_suspects.h
+++ b/heatherlatch/relay/shared_suspects.h
@@ -14,7 +14,6 @@
 
 #include <cstddef>
 #include <map>
-#include <utility>
 #include <vector>
 
 #include "heatherlatch/admission/crash_suspects.h"
@@ -40,15 +39,15 @@
   std::vector<SuspectNotice> Recent(TimePoint now) const;
 
  private:
-  using Key = std::pair<ServiceName, ContentDigest>;
   struct Entry {
+    ServiceName service;
     int crashes = 0;
     TimePoint crashed_at;
   };
 
   void Prune(TimePoint now);
 
-  std::map<Key, Entry> entries_;
+  std::map<ContentDigest, Entry> entries_;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -126,7 +126,8 @@
     return;
   }
   service_ = chosen->service;
-  digest_ = DigestOf(request_.method, request_.target, Body());
+  digest_ = DigestWithin(request_.authority, request_.method, request_.target,
+                         Body());
   context_->RetryBudgetFor(service_).OnSuccess();
   ArmDeadline();
   if (IsTooLateForHost()) {
@@ -263,7 +264,7 @@
 bool Exchange::Admit() {
   if (admitted_) return true;
   const SuspectVerdict verdict =
-      context_->suspects.Admit(service_, digest_, SteadyClock::now());
+      context_->suspects.Admit(digest_, SteadyClock::now());
   admitted_ =
       verdict == SuspectVerdict::kClear || verdict == SuspectVerdict::kIsolate;
   isolated_ = verdict == SuspectVerdict::kIsolate;
@@ -282,7 +283,7 @@
 void Exchange::EndAdmission() {
   if (!admitted_) return;
   admitted_ = false;
-  context_->suspects.OnInconclusiveEnd(service_, digest_);
+  context_->suspects.OnInconclusiveEnd(digest_);
 }
 
 void Exchange::ProbeForCrash(const ServerRecord& server,
@@ -314,7 +315,7 @@
                           {"crashes", static_cast<double>(notice.crashes)}});
       context->share_suspect(notice);
     } else if (was_admitted) {
-      context->suspects.OnInconclusiveEnd(service, digest);
+      context->suspects.OnInconclusiveEnd(digest);
     }
     proceed();
   });
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -526,22 +526,21 @@
 void PublishedFeed::OnReadersTold(const SuspectNotice& notice, bool told) {
   CrashSuspects& suspects = context_->suspects;
   const TimePoint now = SteadyClock::now();
-  const bool was_unshared =
-      suspects.IsUnshared(notice.service, notice.digest, now);
-  suspects.SetShared(notice.service, notice.digest, told);
+  const bool was_unshared = suspects.IsUnshared(notice.digest, now);
+  suspects.SetShared(notice.digest, told);
   if (was_unshared == told) {
     context_->metrics.Count("suspects", told ? "shared" : "unshared");
     context_->log.Write(told ? "suspect-shared" : "suspect-unshared",
                         {{"service", notice.service.str()},
                          {"digest", std::to_string(notice.digest)}});
   }
-  if (!suspects.IsUnshared(notice.service, notice.digest, now)) return;
+  if (!suspects.IsUnshared(notice.digest, now)) return;
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kUnsharedSuspectInterval);
   timer->async_wait(
       [this, notice, timer](const boost::system::error_code& error) {
-        if (error || !context_->suspects.IsUnshared(
-                         notice.service, notice.digest, SteadyClock::now())) {
+        if (error ||
+            !context_->suspects.IsUnshared(notice.digest, SteadyClock::now())) {
           return;
         }
         SuspectNotice later = notice;
