Keep the notices of crashing contents for hosts that were away

Cause: a host passed a notice on for five seconds after the crash and then dropped it, and no host asked for older ones. A reader asked no other host at all. A host that was cut off for longer than five seconds told the readers in vain: they dropped its notice as too old and it counted them as told.

A host that begins to follow another exchanges all notices with it, in both directions, so that a reader that restarted learns from those that follow it. Readers ask each other every two seconds, and pass on at once what they learn of older crashes.

Ruled out: to send all notices in each response, which costs every round what only hosts that were away need; and to ask the readers at the start only, since all readers may have restarted.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -219,6 +219,7 @@
   if (!request.suspects.empty()) {
     json["suspects"] = ToJson(request.suspects);
   }
+  if (request.wants_all_suspects) json["all_suspects"] = true;
   if (!request.cold_servers.empty()) {
     json["cold"] = ToJson(request.cold_servers);
   }
@@ -264,6 +265,7 @@
     BOOST_LEAF_ASSIGN(request.requester,
                       ParseEndpoint(message.at("from").get<std::string>()));
     request.suspects = ToNotices(message);
+    request.wants_all_suspects = message.value("all_suspects", false);
     request.cold_servers = ToServers(message, "cold");
     request.budget_asks = ToAsks(message);
     return request;
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -36,6 +36,8 @@
   std::uint64_t after_revision = 0;     // Only later changes are requested.
   std::chrono::milliseconds wait{};     // How long to wait for a change.
   std::vector<SuspectNotice> suspects;  // Notices of the requesting host.
+  // Whether to state all notices, not only those learnt lately.
+  bool wants_all_suspects = false;
   // Servers in cold start for which the requesting host asks for permits; the
   // response then states only those.
   std::vector<BackendServerName> cold_servers;
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -20,6 +20,7 @@
       77,
       milliseconds(600),
       {suspect},
+      true,
       {BackendServerName("i-1"), BackendServerName("i-2")}};
   const auto decoded_request = ValueOf(DecodeFeedRequest(Encode(request)));
   REQUIRE(decoded_request);
@@ -27,6 +28,9 @@
   CHECK(decoded_request->after_revision == 77);
   CHECK(decoded_request->wait == milliseconds(600));
   CHECK(decoded_request->cold_servers == request.cold_servers);
+  CHECK(decoded_request->wants_all_suspects);
+  CHECK_FALSE(ValueOf(DecodeFeedRequest(Encode(FeedRequest{{"10.0.0.1", 1}})))
+                  ->wants_all_suspects);
   REQUIRE(decoded_request->suspects.size() == 1);
   CHECK(decoded_request->suspects[0].digest == suspect.digest);
   CHECK(decoded_request->suspects[0].service == suspect.service);
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -47,6 +47,10 @@
 // How long after a notice of a crash that no reader received it is sent again.
 constexpr Duration kUnsharedSuspectInterval = std::chrono::seconds(1);
 
+// Interval at which a reader asks the others for suspects: twice within the
+// time after which a host that was away has to act on what the others know.
+constexpr Duration kSuspectQueryInterval = std::chrono::seconds(2);
+
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
@@ -70,6 +74,15 @@
   return feed;
 }
 
+std::vector<SuspectNotice> ReadSuspects(const std::string& body) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::vector<SuspectNotice>> {
+        BOOST_LEAF_AUTO(response, DecodeFeedResponse(body));
+        return std::move(response.suspects);
+      },
+      [] { return std::vector<SuspectNotice>(); });
+}
+
 }  // namespace
 
 PublishedFeed::PublishedFeed(TrafficContext* context, OnChanged on_changed)
@@ -159,7 +172,13 @@
   FeedRequest query;
   query.requester = context_->settings.peer_listen;
   query.after_revision = items_.revision();
-  if (followed_peer_ == peer) query.wait = kPeerQueryWait;
+  if (followed_peer_ == peer) {
+    query.wait = kPeerQueryWait;
+  } else {
+    // One of the two may have been away when the other learnt of a suspect.
+    query.suspects = suspects_.All(SteadyClock::now());
+    query.wants_all_suspects = true;
+  }
   Call(peer, BuildPeerRequest(peer, query), query.wait + kPeerResponseMargin);
 }
 
@@ -432,7 +451,8 @@
 }
 
 FeedResponse PublishedFeed::BuildPeerResponse(std::uint64_t after_revision,
-                                              TimePoint received_at) const {
+                                              TimePoint received_at,
+                                              bool all_suspects) const {
   const TimePoint now = SteadyClock::now();
   FeedResponse response;
   response.page = items_.ChangesSince(after_revision);
@@ -444,7 +464,7 @@
   }
   response.waited = std::chrono::floor<milliseconds>(now - received_at);
   response.store_was_unavailable = relisting_.StoreWasUnavailable(now);
-  response.suspects = suspects_.Recent(now);
+  response.suspects = all_suspects ? suspects_.All(now) : suspects_.Recent(now);
   return response;
 }
 
@@ -469,7 +489,8 @@
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
                                query.after_revision >= items_.revision();
         if (!must_wait) {
-          respond({kOk, Encode(BuildPeerResponse(query.after_revision, now))});
+          respond({kOk, Encode(BuildPeerResponse(query.after_revision, now,
+                                                 query.wants_all_suspects))});
           return {};
         }
         pending_.push_back(
@@ -507,19 +528,24 @@
 
 void PublishedFeed::TellReaders(const SuspectNotice& notice) {
   if (stopped_) return;
-  const Endpoint& self = context_->settings.peer_listen;
-  std::vector<Endpoint> readers = context_->settings.seeds;
-  const auto others_end = std::remove(readers.begin(), readers.end(), self);
+  const std::vector<Endpoint> readers = OtherReaders();
   // Other hosts ask a reader for its notices.
-  const bool is_reader = others_end != readers.end() || readers.empty();
-  readers.erase(others_end, readers.end());
+  const bool is_reader = readers.size() < context_->settings.seeds.size() ||
+                         context_->settings.seeds.empty();
   const auto missing = std::make_shared<std::size_t>(readers.size());
   const auto told = std::make_shared<bool>(is_reader);
   for (const Endpoint& reader : readers) {
-    SendSuspect(reader, notice, [this, notice, missing, told](bool responded) {
-      *told = *told || responded;
-      if (--*missing == 0) OnReadersTold(notice, *told);
-    });
+    FeedRequest request;
+    request.suspects = {notice};
+    CallAboutSuspects(reader, std::move(request),
+                      [this, reader, notice, missing, told](bool responded) {
+                        if (!responded) {
+                          context_->log.Write("suspect-not-told",
+                                              {{"reader", ToString(reader)}});
+                        }
+                        *told = *told || responded;
+                        if (--*missing == 0) OnReadersTold(notice, *told);
+                      });
   }
 }
 
@@ -549,27 +575,48 @@
       });
 }
 
-void PublishedFeed::SendSuspect(const Endpoint& reader,
-                                const SuspectNotice& notice,
-                                std::function<void(bool)> done) {
-  FeedRequest query;
-  query.requester = context_->settings.peer_listen;
-  query.after_revision = items_.revision();
-  query.suspects = {notice};
+std::vector<Endpoint> PublishedFeed::OtherReaders() const {
+  std::vector<Endpoint> readers = context_->settings.seeds;
+  readers.erase(std::remove(readers.begin(), readers.end(),
+                            context_->settings.peer_listen),
+                readers.end());
+  return readers;
+}
+
+void PublishedFeed::QuerySuspects(TimePoint now) {
+  if (stopped_ || !choice_.IsReader() || !has_complete_list_ ||
+      now - suspects_queried_at_ < kSuspectQueryInterval) {
+    return;
+  }
+  suspects_queried_at_ = now;
+  for (const Endpoint& reader : OtherReaders()) {
+    FeedRequest request;
+    request.wants_all_suspects = true;
+    CallAboutSuspects(reader, std::move(request), [](bool) {});
+  }
+}
+
+void PublishedFeed::CallAboutSuspects(const Endpoint& reader,
+                                      FeedRequest request,
+                                      std::function<void(bool)> done) {
+  request.requester = context_->settings.peer_listen;
+  // The response lists no more than the latest changes.
+  request.after_revision = items_.revision();
   const auto connection = context_->connections.Open(reader);
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kPeerResponseMargin);
   const auto ended = std::make_shared<bool>(false);
-  const auto end = [this, reader, ended, done = std::move(done)](bool told) {
-    if (std::exchange(*ended, true)) return;
-    if (!told) {
-      context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
-    }
-    done(told);
+  const auto end = [ended, done = std::move(done)](bool responded) {
+    if (!std::exchange(*ended, true)) done(responded);
   };
-  connection->Call({BuildPeerRequest(reader, query)}, ResponseBounds(),
-                   [end](const CallResult& result) {
-                     end(std::holds_alternative<ServerResponse>(result));
+  connection->Call({BuildPeerRequest(reader, request)}, ResponseBounds(),
+                   [this, end](const CallResult& result) {
+                     const auto* response =
+                         std::get_if<ServerResponse>(&result);
+                     if (response != nullptr) {
+                       MergeSuspects(ReadSuspects(response->message.body()));
+                     }
+                     end(response != nullptr);
                    });
   timer->async_wait([connection, timer, end](const boost::system::error_code&) {
     connection->Cancel();
@@ -584,6 +631,10 @@
     if (!suspects_.Add(notice, now)) continue;
     any_new = true;
     context_->suspects.Merge(notice, now);
+    // Of an older crash no reader may have been told that still knows it.
+    if (choice_.IsReader() && notice.age >= kSuspectNoticeLifetime) {
+      TellReaders(notice);
+    }
     context_->log.Write("suspect-learnt",
                         {{"service", notice.service.str()},
                          {"digest", std::to_string(notice.digest)},
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -66,6 +66,11 @@
   // Reports a content that crashed a server to other hosts.
   void ShareSuspect(const SuspectNotice& notice);
 
+  // Asks the other readers for the contents that crashed servers, if this host
+  // is a reader: it queries no other host otherwise. To be called about twice a
+  // second; does nothing if the last time was lately.
+  void QuerySuspects(TimePoint now);
+
   // @return until when a server whose entry is removed now may be listed again;
   //     nothing: the server has left
   std::optional<TimePoint> RelistingEnd(TimePoint now) const {
@@ -121,13 +126,16 @@
   // Sends a notice to the other readers, again and again while the host is no
   // reader and none of them responds.
   void TellReaders(const SuspectNotice& notice);
+  // Sends a request about suspects to a reader, and takes its notices over.
   // @param done  called once with whether the reader responded
-  void SendSuspect(const Endpoint& reader, const SuspectNotice& notice,
-                   std::function<void(bool)> done);
+  void CallAboutSuspects(const Endpoint& reader, FeedRequest request,
+                         std::function<void(bool)> done);
   void OnReadersTold(const SuspectNotice& notice, bool told);
   void MergeSuspects(const std::vector<SuspectNotice>& notices);
+  // @param all_suspects  whether to state all notices, not only recent ones
   FeedResponse BuildPeerResponse(std::uint64_t after_revision,
-                                 TimePoint received_at) const;
+                                 TimePoint received_at,
+                                 bool all_suspects = false) const;
   // Notes that the store is proven to have held the items that the host knows.
   // @param at  not later than when it held them
   void MarkHeld(const SuspendAwareTime& at);
@@ -139,6 +147,8 @@
   // @param all  whether to respond to the others too
   void RespondToPending(bool all);
   void ArmPendingTimer();
+  // @return the readers other than this host
+  std::vector<Endpoint> OtherReaders() const;
   // @return the time since the items were last confirmed by the store
   Duration Age(TimePoint now) const;
 
@@ -147,6 +157,7 @@
   SourceChoice choice_;
   PublishedItems items_;
   SharedSuspects suspects_;
+  TimePoint suspects_queried_at_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer pending_timer_;
   std::list<PeerQuery> pending_;
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -195,6 +195,7 @@
   context_.observations.RemoveStale(kObservationRetention, now);
   context_.cold_permits.RemoveStale(kColdStartRetention, now);
   context_.suspects.Expire(now);
+  feed_.QuerySuspects(now);
   budget_client_.RemoveExpired();
   for (auto it = callers_.begin(); it != callers_.end();) {
     const std::shared_ptr<CallerConnection> caller = it->lock();
