Tell other hosts of a crashing content while no reader can be reached

Cause: a host sent the notice of a crash to the readers only, because it knew no other host. A host that no reader heard refused the content itself, but the others could not know of it.

Now a reader notes the hosts that query it and lists up to 16 of them to a host that asks, once a second. A host whose notice no reader received within 350 ms sends it to 16 hosts that it knows; each passes it on once, to the readers, or to 16 more if none responds. So a notice costs each host 16 messages at most, whatever the number of hosts.

Tried: to ask for hosts every five seconds.

Not covered: a host that started while no reader could be reached knows no other host.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -206,6 +206,21 @@
   return grants;
 }
 
+// Hosts of an earlier version list no hosts.
+Result<std::vector<Endpoint>> ToHosts(const Json& message) {
+  std::vector<Endpoint> hosts;
+  if (!message.contains("hosts")) return hosts;
+  const Json& encoded = message.at("hosts");
+  if (encoded.size() > kMaxHostsInResponse) {
+    return Fail(PeerMessageError{"too many hosts"});
+  }
+  for (const Json& host : encoded) {
+    BOOST_LEAF_AUTO(endpoint, ParseEndpoint(host.get<std::string>()));
+    hosts.push_back(std::move(endpoint));
+  }
+  return hosts;
+}
+
 }  // namespace
 
 bool IsUpToDate(const FeedResponse& response) {
@@ -220,6 +235,7 @@
     json["suspects"] = ToJson(request.suspects);
   }
   if (request.wants_all_suspects) json["all_suspects"] = true;
+  if (request.wants_hosts) json["wants_hosts"] = true;
   if (!request.cold_servers.empty()) {
     json["cold"] = ToJson(request.cold_servers);
   }
@@ -250,6 +266,9 @@
   if (!response.permitted_servers.empty()) {
     json["permits"] = ToJson(response.permitted_servers);
   }
+  for (const Endpoint& host : response.hosts) {
+    json["hosts"].push_back(ToString(host));
+  }
   if (!response.budget_grants.empty()) {
     json["grants"] = ToJson(response.budget_grants);
   }
@@ -266,6 +285,7 @@
                       ParseEndpoint(message.at("from").get<std::string>()));
     request.suspects = ToNotices(message);
     request.wants_all_suspects = message.value("all_suspects", false);
+    request.wants_hosts = message.value("wants_hosts", false);
     request.cold_servers = ToServers(message, "cold");
     request.budget_asks = ToAsks(message);
     return request;
@@ -292,6 +312,7 @@
     response.suspects = ToNotices(message);
     response.permitted_servers = ToServers(message, "permits");
     response.budget_grants = ToGrants(message);
+    BOOST_LEAF_ASSIGN(response.hosts, ToHosts(message));
     for (const Json& item : message.at("items")) {
       try {
         response.page.items.push_back(ToItem(item));
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -47,6 +47,7 @@
   response.store_was_unavailable = true;
   response.suspects = {suspect, suspect};
   response.permitted_servers = {BackendServerName("i-2")};
+  response.hosts = {{"10.0.0.2", 8544}, {"10.0.0.3", 8545}};
   const auto decoded_response = ValueOf(DecodeFeedResponse(Encode(response)));
   REQUIRE(decoded_response);
   CHECK(decoded_response->page.is_complete);
@@ -59,6 +60,9 @@
   CHECK(decoded_response->store_was_unavailable);
   CHECK(decoded_response->suspects.size() == 2);
   CHECK(decoded_response->permitted_servers == response.permitted_servers);
+  CHECK(decoded_response->hosts == response.hosts);
+  response.hosts.assign(kMaxHostsInResponse + 1, {"10.0.0.2", 8544});
+  CHECK_FALSE(ValueOf(DecodeFeedResponse(Encode(response))));
 }
 
 TEST_CASE("tokens of bounds are decoded as they were encoded") {
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -51,6 +51,12 @@
 // time after which a host that was away has to act on what the others know.
 constexpr Duration kSuspectQueryInterval = std::chrono::seconds(2);
 
+// Interval at which a host asks the one that it follows for other hosts.
+constexpr Duration kHostsQueryInterval = std::chrono::seconds(1);
+// The hosts to which a notice goes that no reader received. Each of them passes
+// it on once, so that it reaches all hosts that know each other.
+constexpr std::size_t kHostsToTell = 16;
+
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
@@ -91,6 +97,7 @@
       choice_(context->settings.peer_listen, context->settings.seeds,
               context->settings.first_start ? DeploymentStart::kFirst
                                             : DeploymentStart::kRestart),
+      known_hosts_(context->settings.peer_listen),
       timer_(*context->io),
       pending_timer_(*context->io) {}
 
@@ -179,6 +186,9 @@
     query.suspects = suspects_.All(SteadyClock::now());
     query.wants_all_suspects = true;
   }
+  const TimePoint now = SteadyClock::now();
+  query.wants_hosts = now - hosts_queried_at_ >= kHostsQueryInterval;
+  if (query.wants_hosts) hosts_queried_at_ = now;
   Call(peer, BuildPeerRequest(peer, query), query.wait + kPeerResponseMargin);
 }
 
@@ -341,7 +351,10 @@
   if (response.unreadable_items > 0) {
     context_->metrics.Count("peer_items", "unreadable");
   }
-  MergeSuspects(response.suspects);
+  MergeSuspects(response.suspects, false);
+  for (const Endpoint& host : response.hosts) {
+    known_hosts_.Note(host, SteadyClock::now());
+  }
   const TimePoint confirmed_at = ResponseBeganAt() - response.age;
   const bool is_up_to_date = IsUpToDate(response);
   if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
@@ -450,12 +463,11 @@
   if (!held_at || TimeBetween(*held_at, at) > Duration::zero()) held_at = at;
 }
 
-FeedResponse PublishedFeed::BuildPeerResponse(std::uint64_t after_revision,
-                                              TimePoint received_at,
-                                              bool all_suspects) const {
+FeedResponse PublishedFeed::BuildPeerResponse(const FeedRequest& request,
+                                              TimePoint received_at) const {
   const TimePoint now = SteadyClock::now();
   FeedResponse response;
-  response.page = items_.ChangesSince(after_revision);
+  response.page = items_.ChangesSince(request.after_revision);
   response.age = std::chrono::duration_cast<milliseconds>(Age(now));
   response.hops = hops_;
   if (const auto& held_at = context_->table_confirmation.held_at) {
@@ -464,7 +476,12 @@
   }
   response.waited = std::chrono::floor<milliseconds>(now - received_at);
   response.store_was_unavailable = relisting_.StoreWasUnavailable(now);
-  response.suspects = all_suspects ? suspects_.All(now) : suspects_.Recent(now);
+  response.suspects =
+      request.wants_all_suspects ? suspects_.All(now) : suspects_.Recent(now);
+  if (request.wants_hosts) {
+    response.hosts =
+        known_hosts_.Sample(kMaxHostsInResponse, &context_->rng, now);
+  }
   return response;
 }
 
@@ -485,16 +502,16 @@
           return {};
         }
         choice_.OnRequestFrom(query.requester, now);
-        MergeSuspects(query.suspects);
+        known_hosts_.Note(query.requester, now);
+        MergeSuspects(query.suspects, true);
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
                                query.after_revision >= items_.revision();
         if (!must_wait) {
-          respond({kOk, Encode(BuildPeerResponse(query.after_revision, now,
-                                                 query.wants_all_suspects))});
+          respond({kOk, Encode(BuildPeerResponse(query, now))});
           return {};
         }
-        pending_.push_back(
-            {query.after_revision, now, now + query.wait, respond});
+        const TimePoint deadline = now + query.wait;
+        pending_.push_back({std::move(query), now, deadline, respond});
         if (pending_.size() == 1) ArmPendingTimer();
         return {};
       },
@@ -523,10 +540,14 @@
 void PublishedFeed::ShareSuspect(const SuspectNotice& notice) {
   if (!suspects_.Add(notice, SteadyClock::now())) return;
   RespondToPending(true);
-  TellReaders(notice);
+  TellReaders(notice, [this, notice](bool told) {
+    if (!told) TellKnownHosts(notice);
+    OnReadersTold(notice, told);
+  });
 }
 
-void PublishedFeed::TellReaders(const SuspectNotice& notice) {
+void PublishedFeed::TellReaders(const SuspectNotice& notice,
+                                std::function<void(bool)> done) {
   if (stopped_) return;
   const std::vector<Endpoint> readers = OtherReaders();
   // Other hosts ask a reader for its notices.
@@ -538,13 +559,13 @@
     FeedRequest request;
     request.suspects = {notice};
     CallAboutSuspects(reader, std::move(request),
-                      [this, reader, notice, missing, told](bool responded) {
+                      [this, reader, missing, told, done](bool responded) {
                         if (!responded) {
                           context_->log.Write("suspect-not-told",
                                               {{"reader", ToString(reader)}});
                         }
                         *told = *told || responded;
-                        if (--*missing == 0) OnReadersTold(notice, *told);
+                        if (--*missing == 0) done(*told);
                       });
   }
 }
@@ -571,10 +592,21 @@
         }
         SuspectNotice later = notice;
         later.age += kUnsharedSuspectInterval;
-        TellReaders(later);
+        TellReaders(later,
+                    [this, later](bool told) { OnReadersTold(later, told); });
       });
 }
 
+void PublishedFeed::TellKnownHosts(const SuspectNotice& notice) {
+  for (const Endpoint& host :
+       known_hosts_.Sample(kHostsToTell, &context_->rng, SteadyClock::now())) {
+    FeedRequest request;
+    request.suspects = {notice};
+    context_->metrics.Count("suspects", "sent-to-host");
+    CallAboutSuspects(host, std::move(request), [](bool) {});
+  }
+}
+
 std::vector<Endpoint> PublishedFeed::OtherReaders() const {
   std::vector<Endpoint> readers = context_->settings.seeds;
   readers.erase(std::remove(readers.begin(), readers.end(),
@@ -596,44 +628,51 @@
   }
 }
 
-void PublishedFeed::CallAboutSuspects(const Endpoint& reader,
-                                      FeedRequest request,
+void PublishedFeed::CallAboutSuspects(const Endpoint& host, FeedRequest request,
                                       std::function<void(bool)> done) {
   request.requester = context_->settings.peer_listen;
   // The response lists no more than the latest changes.
   request.after_revision = items_.revision();
-  const auto connection = context_->connections.Open(reader);
+  const auto connection = context_->connections.Open(host);
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kPeerResponseMargin);
   const auto ended = std::make_shared<bool>(false);
   const auto end = [ended, done = std::move(done)](bool responded) {
     if (!std::exchange(*ended, true)) done(responded);
   };
-  connection->Call({BuildPeerRequest(reader, request)}, ResponseBounds(),
-                   [this, end](const CallResult& result) {
-                     const auto* response =
-                         std::get_if<ServerResponse>(&result);
-                     if (response != nullptr) {
-                       MergeSuspects(ReadSuspects(response->message.body()));
-                     }
-                     end(response != nullptr);
-                   });
+  connection->Call(
+      {BuildPeerRequest(host, request)}, ResponseBounds(),
+      [this, end](const CallResult& result) {
+        const auto* response = std::get_if<ServerResponse>(&result);
+        if (response != nullptr) {
+          MergeSuspects(ReadSuspects(response->message.body()), false);
+        }
+        end(response != nullptr);
+      });
   timer->async_wait([connection, timer, end](const boost::system::error_code&) {
     connection->Cancel();
     end(false);
   });
 }
 
-void PublishedFeed::MergeSuspects(const std::vector<SuspectNotice>& notices) {
+void PublishedFeed::MergeSuspects(const std::vector<SuspectNotice>& notices,
+                                  bool is_pushed) {
   const TimePoint now = SteadyClock::now();
   bool any_new = false;
   for (const SuspectNotice& notice : notices) {
     if (!suspects_.Add(notice, now)) continue;
     any_new = true;
     context_->suspects.Merge(notice, now);
-    // Of an older crash no reader may have been told that still knows it.
-    if (choice_.IsReader() && notice.age >= kSuspectNoticeLifetime) {
-      TellReaders(notice);
+    if (choice_.IsReader()) {
+      // No other reader may know of an older crash: they may have restarted.
+      if (notice.age >= kSuspectNoticeLifetime) {
+        TellReaders(notice, [](bool) {});
+      }
+    } else if (is_pushed) {
+      // The sender may have reached no reader.
+      TellReaders(notice, [this, notice](bool told) {
+        if (!told) TellKnownHosts(notice);
+      });
     }
     context_->log.Write("suspect-learnt",
                         {{"service", notice.service.str()},
@@ -647,12 +686,12 @@
 void PublishedFeed::RespondToPending(bool all) {
   const TimePoint now = SteadyClock::now();
   for (auto it = pending_.begin(); it != pending_.end();) {
-    if (!all && it->after_revision >= items_.revision() && now < it->deadline) {
+    if (!all && it->request.after_revision >= items_.revision() &&
+        now < it->deadline) {
       ++it;
       continue;
     }
-    it->respond(
-        {kOk, Encode(BuildPeerResponse(it->after_revision, it->received_at))});
+    it->respond({kOk, Encode(BuildPeerResponse(it->request, it->received_at))});
     it = pending_.erase(it);
   }
 }
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -25,6 +25,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherlatch/relay/known_hosts.h"
 #include "heatherlatch/relay/peer_messages.h"
 #include "heatherlatch/relay/published_items.h"
 #include "heatherlatch/relay/relisting_window.h"
@@ -71,6 +72,9 @@
   // second; does nothing if the last time was lately.
   void QuerySuspects(TimePoint now);
 
+  // @return how many other hosts this one knows, besides the readers
+  std::size_t known_hosts() const { return known_hosts_.size(); }
+
   // @return until when a server whose entry is removed now may be listed again;
   //     nothing: the server has left
   std::optional<TimePoint> RelistingEnd(TimePoint now) const {
@@ -80,7 +84,7 @@
  private:
   // A query of another host that waits for a change.
   struct PeerQuery {
-    std::uint64_t after_revision = 0;
+    FeedRequest request;
     TimePoint received_at;
     TimePoint deadline;
     SimpleHttpServer::Respond respond;
@@ -123,19 +127,22 @@
   void Merge(const FeedPage& page, int hops);
   void QueryAfter(Duration delay);
 
-  // Sends a notice to the other readers, again and again while the host is no
-  // reader and none of them responds.
-  void TellReaders(const SuspectNotice& notice);
-  // Sends a request about suspects to a reader, and takes its notices over.
-  // @param done  called once with whether the reader responded
-  void CallAboutSuspects(const Endpoint& reader, FeedRequest request,
+  // Sends a notice to the other readers.
+  // @param done  called once with whether a reader knows of it; not called if
+  //              there is no other reader
+  void TellReaders(const SuspectNotice& notice, std::function<void(bool)> done);
+  // Sends a request about suspects to a host, and takes its notices over.
+  // @param done  called once with whether the host responded
+  void CallAboutSuspects(const Endpoint& host, FeedRequest request,
                          std::function<void(bool)> done);
+  // Records whether a reader knows of a notice of this host. If none does,
+  // sends it to them again, and again.
   void OnReadersTold(const SuspectNotice& notice, bool told);
-  void MergeSuspects(const std::vector<SuspectNotice>& notices);
-  // @param all_suspects  whether to state all notices, not only recent ones
-  FeedResponse BuildPeerResponse(std::uint64_t after_revision,
-                                 TimePoint received_at,
-                                 bool all_suspects = false) const;
+  void TellKnownHosts(const SuspectNotice& notice);
+  // @param is_pushed  whether a host sent them on its own account
+  void MergeSuspects(const std::vector<SuspectNotice>& notices, bool is_pushed);
+  FeedResponse BuildPeerResponse(const FeedRequest& request,
+                                 TimePoint received_at) const;
   // Notes that the store is proven to have held the items that the host knows.
   // @param at  not later than when it held them
   void MarkHeld(const SuspendAwareTime& at);
@@ -158,6 +165,8 @@
   PublishedItems items_;
   SharedSuspects suspects_;
   TimePoint suspects_queried_at_;
+  KnownHosts known_hosts_;
+  TimePoint hosts_queried_at_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer pending_timer_;
   std::list<PeerQuery> pending_;
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -20,8 +20,9 @@
 constexpr double kRetryShareFactor = 0.8;
 // Retries that a host may send before its requests have added any to its
 // budget. The reserve of a deployment is larger than its number of hosts, which
-// a host cannot determine.
-constexpr double kRetryReserve = 1;
+// a host cannot determine. Restarts must not add to it, so a host that restarts
+// has none.
+constexpr double kRetryReserveOfFirstStart = 1;
 
 // The part of the bound on the probes of a server that hosts use. The rest
 // allows for hosts that do not agree on their shares.
@@ -120,7 +121,7 @@
 RetryBudget& TrafficContext::RetryBudgetFor(const ServiceName& service) {
   return retries_
       .try_emplace(service, settings.retry_share * kRetryShareFactor,
-                   kRetryReserve)
+                   settings.first_start ? kRetryReserveOfFirstStart : 0)
       .first->second;
 }
 
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -123,6 +123,8 @@
                             static_cast<double>(held.capacity()));
   context_.metrics.SetGauge("waiting_requests",
                             static_cast<double>(context_.WaitingRequests()));
+  context_.metrics.SetGauge("known_hosts",
+                            static_cast<double>(feed_.known_hosts()));
   const OverflowShares shares = context_.overflow.HighestShares();
   context_.metrics.SetGauge("zone_overflow_region_thousandths",
                             shares.region * kThousandths);
