Follow a store that was restored from a copy

Revisions go back and are given out again, a watch from one that the store doesn't have gets 410, and Store-Era rises by one.

A host compared revisions whatever their era. An item that was changed after the copy was made, and written again under a lower revision, was never taken over, and one that the copy lacks was never removed: in the new test a host kept configuration 2 while the store had 3, and used a server that was gone, for as long as it was watched (20 s).

Now a revision is ordered by the era first, in one number, so that items, hosts that follow others, and their messages need nothing else. A host that sees another era lists the store anew. What the copy lacks or has as it was is no news from the operator or from a server: servers that are missing are used for the grace of an outage, a zone whose order is missing stays out of service for ten seconds, and a server that drains or has left is not used for what the copy says of it.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/relay/store_revision.h"
 #include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/peer_requests.h"
@@ -268,8 +269,9 @@
     OnFailure("status " + std::to_string(status), false);
     return {};
   }
-  return from_store ? OnStoreResponse(response.body())
-                    : OnPeerResponse(response.body());
+  return from_store
+             ? OnStoreResponse(wire::ReadStoreEra(response), response.body())
+             : OnPeerResponse(response.body());
 }
 
 void PublishedFeed::OnHistoryExpired() {
@@ -280,14 +282,33 @@
   QueryNextSource();
 }
 
-Result<void> PublishedFeed::OnStoreResponse(const std::string& body) {
-  BOOST_LEAF_AUTO(page, wire::ReadStorePage(body));
+bool PublishedFeed::IsOfOtherEra(std::uint64_t era) {
+  const std::uint64_t known = EraOf(items_.revision());
+  if (era < known) {
+    OnFailure("the response is older than a restore of the store", false);
+    return true;
+  }
+  const bool continues_list = !list_after_key_.empty();
+  const std::uint64_t expected =
+      continues_list ? EraOf(partial_list_.revision) : known;
+  if (era == expected || (!has_complete_list_ && !continues_list)) return false;
+  // The changes that this host knows may not be those that the store knows.
+  has_complete_list_ = false;
+  RestartList();
+  QueryNextSource();
+  return true;
+}
+
+Result<void> PublishedFeed::OnStoreResponse(std::uint64_t era,
+                                            const std::string& body) {
+  BOOST_LEAF_AUTO(page, wire::ReadStorePage(body, era));
+  if (IsOfOtherEra(era)) return {};
   RecordUnreadable(page.unreadable);
   const TimePoint made_at = ResponseBeganAt();
   hops_ = 0;
   if (has_complete_list_) {
     relisting_.OnConfirmed(made_at);
-    Merge(ToFeedPage(page, false), hops_);
+    Merge(ToFeedPage(page, false), hops_, made_at);
     SuspendAwareTime held_at = queried_at_;
     if (page.items.empty() && page.unreadable.empty()) {
       // Without a change the store responds when the wait is over.
@@ -318,7 +339,7 @@
   const FeedPage complete_list = std::move(partial_list_);
   RestartList();
   relisting_.OnConfirmed(list_began_at_);
-  Merge(complete_list, hops_);
+  Merge(complete_list, hops_, list_began_at_);
   MarkHeld(list_queried_at_);
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
@@ -356,11 +377,13 @@
     known_hosts_.Note(host, SteadyClock::now());
   }
   const TimePoint confirmed_at = ResponseBeganAt() - response.age;
-  const bool is_up_to_date = IsUpToDate(response);
+  const bool is_up_to_date =
+      IsUpToDate(response) &&
+      EraOf(response.page.revision) >= EraOf(items_.revision());
   if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
   if (is_up_to_date) relisting_.OnConfirmed(confirmed_at);
   const bool has_changes = !response.page.items.empty();
-  Merge(response.page, response.hops + 1);
+  Merge(response.page, response.hops + 1, confirmed_at);
   if (!is_up_to_date) {
     followed_peer_.reset();
     OnPeerStale();
@@ -449,10 +472,22 @@
                        {"revision", static_cast<double>(items_.revision())}});
 }
 
-void PublishedFeed::Merge(const FeedPage& page, int hops) {
+void PublishedFeed::Merge(const FeedPage& page, int hops,
+                          TimePoint confirmed_at) {
+  const std::uint64_t known = items_.revision();
+  const bool is_restored = known > 0 && EraOf(page.revision) > EraOf(known);
+  if (is_restored) {
+    relisting_.OnRestored(confirmed_at);
+    context_->log.Write(
+        "store-restored",
+        {{"source", ToString(source_)},
+         {"era", static_cast<double>(EraOf(page.revision))},
+         {"revision", static_cast<double>(RevisionInEra(page.revision))},
+         {"known_revision", static_cast<double>(RevisionInEra(known))}});
+  }
   const std::vector<PublishedItem> changed = items_.Merge(page);
   if (changed.empty()) return;
-  on_changed_(changed, {source_, hops});
+  on_changed_(changed, {source_, hops, is_restored});
   RespondToPending(false);
 }
 
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -103,7 +103,12 @@
 
   void OnResult(std::size_t call_id, const CallResult& result);
   Result<void> OnResponse(const http::response<http::string_body>& response);
-  Result<void> OnStoreResponse(const std::string& body);
+  // @param era  of the store, as the response states it
+  Result<void> OnStoreResponse(std::uint64_t era, const std::string& body);
+  // Reads the store's list again, if the store was restored from a copy since
+  // the last response.
+  // @return whether the response is of no use
+  bool IsOfOtherEra(std::uint64_t era);
   void RestartList();
   // Logs each unreadable item once, and counts it.
   void RecordUnreadable(const std::vector<wire::UnreadableItem>& items);
@@ -123,8 +128,9 @@
   // @param next          delay until the next query
   void FinishSuccessfulQuery(TimePoint confirmed_at, Duration round_trip,
                              Duration next);
-  // @param hops  hosts between this one and the store
-  void Merge(const FeedPage& page, int hops);
+  // @param hops          hosts between this one and the store
+  // @param confirmed_at  when the store made the page at the latest
+  void Merge(const FeedPage& page, int hops, TimePoint confirmed_at);
   void QueryAfter(Duration delay);
 
   // Sends a notice to the other readers.
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -43,6 +43,11 @@
 // interval of its permits.
 constexpr Duration kColdStartRetention = std::chrono::seconds(2);
 
+// How long after a restore of the store the operator and the servers may take
+// to write again what the copy lacks. Longer than an entry of a server that has
+// left stays listed.
+constexpr Duration kRestoreGrace = std::chrono::seconds(10);
+
 }  // namespace
 
 TrafficHost::TrafficHost(asio::io_context* io,
@@ -194,6 +199,7 @@
   prober_.CancelOverdueProbes(now);
   context_.connections.CloseIdle(now);
   context_.directory.Expire(now);
+  ReturnZones(now);
   context_.observations.RemoveStale(kObservationRetention, now);
   context_.cold_permits.RemoveStale(kColdStartRetention, now);
   context_.suspects.Expire(now);
@@ -248,18 +254,43 @@
     if (!item.is_deleted) ApplyRouteTable(item, origin);
   } else if (const auto* zone =
                  std::get_if<wire::ZoneOutOfServiceKey>(&subject)) {
-    context_.directory.SetZoneInService(zone->zone, item.is_deleted);
-    context_.log.Write(
-        item.is_deleted ? "zone-in-service" : "zone-out-of-service",
-        {{"zone", zone->zone.str()},
-         {"revision", static_cast<double>(item.revision)}});
+    ApplyZone(zone->zone, item, origin, now);
   } else if (const auto* server = std::get_if<wire::ServerKey>(&subject)) {
-    ApplyServer(server->name, item, now);
+    ApplyServer(server->name, item, origin, now);
+  }
+}
+
+void TrafficHost::ApplyZone(const ZoneName& zone, const PublishedItem& item,
+                            const ItemOrigin& origin, TimePoint now) {
+  zones_back_at_.erase(zone);
+  const double revision = static_cast<double>(item.revision);
+  if (item.is_deleted && origin.is_restored) {
+    zones_back_at_[zone] = now + kRestoreGrace;
+    context_.log.Write("zone-order-missing",
+                       {{"zone", zone.str()}, {"revision", revision}});
+    return;
+  }
+  context_.directory.SetZoneInService(zone, item.is_deleted);
+  context_.log.Write(
+      item.is_deleted ? "zone-in-service" : "zone-out-of-service",
+      {{"zone", zone.str()}, {"revision", revision}});
+}
+
+void TrafficHost::ReturnZones(TimePoint now) {
+  for (auto it = zones_back_at_.begin(); it != zones_back_at_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    context_.directory.SetZoneInService(it->first, true);
+    context_.log.Write("zone-in-service", {{"zone", it->first.str()}});
+    it = zones_back_at_.erase(it);
   }
 }
 
 void TrafficHost::ApplyServer(const std::string& name,
-                              const PublishedItem& item, TimePoint now) {
+                              const PublishedItem& item,
+                              const ItemOrigin& origin, TimePoint now) {
   const double revision = static_cast<double>(item.revision);
   if (item.is_deleted) {
     const std::optional<TimePoint> until = feed_.RelistingEnd(now);
@@ -271,14 +302,18 @@
                           {"for_ms", ToMilliseconds(*until - now)}});
       return;
     }
-    context_.directory.Remove(BackendServerName(name));
+    context_.directory.Remove(BackendServerName(name), now);
     context_.log.Write("server-gone",
                        {{"server", name}, {"revision", revision}});
     return;
   }
   const auto record = ReadServer(name, item);
   if (!record) return;
-  context_.directory.Put(*record, now);
+  if (origin.is_restored) {
+    context_.directory.PutFromCopy(*record, now, now + kRestoreGrace);
+  } else {
+    context_.directory.Put(*record, now);
+  }
   context_.log.Write(record->draining ? "server-draining" : "server-listed",
                      {{"server", name}, {"revision", revision}});
 }
