Leave out hosts that cannot be read from a response

A host refused the whole response of a reader, with its items, if one of the listed hosts could not be read or there were too many.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace heatherlatch {
@@ -206,17 +208,25 @@
   return grants;
 }
 
-// Hosts of an earlier version list no hosts.
-Result<std::vector<Endpoint>> ToHosts(const Json& message) {
+std::optional<Endpoint> ToEndpoint(const Json& encoded) {
+  if (!encoded.is_string()) return std::nullopt;
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<Endpoint>> {
+        BOOST_LEAF_AUTO(endpoint, ParseEndpoint(encoded.get<std::string>()));
+        return std::optional<Endpoint>(std::move(endpoint));
+      },
+      [] { return std::optional<Endpoint>(); });
+}
+
+// Hosts of an earlier version list no hosts. One that cannot be read is left
+// out.
+std::vector<Endpoint> ToHosts(const Json& message) {
   std::vector<Endpoint> hosts;
   if (!message.contains("hosts")) return hosts;
-  const Json& encoded = message.at("hosts");
-  if (encoded.size() > kMaxHostsInResponse) {
-    return Fail(PeerMessageError{"too many hosts"});
-  }
-  for (const Json& host : encoded) {
-    BOOST_LEAF_AUTO(endpoint, ParseEndpoint(host.get<std::string>()));
-    hosts.push_back(std::move(endpoint));
+  for (const Json& encoded : message.at("hosts")) {
+    if (hosts.size() == kMaxHostsInResponse) break;
+    auto host = ToEndpoint(encoded);
+    if (host) hosts.push_back(std::move(*host));
   }
   return hosts;
 }
@@ -312,7 +322,7 @@
     response.suspects = ToNotices(message);
     response.permitted_servers = ToServers(message, "permits");
     response.budget_grants = ToGrants(message);
-    BOOST_LEAF_ASSIGN(response.hosts, ToHosts(message));
+    response.hosts = ToHosts(message);
     for (const Json& item : message.at("items")) {
       try {
         response.page.items.push_back(ToItem(item));
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -31,7 +31,7 @@
 inline constexpr std::size_t kMaxBudgetSubjectBytes = 256;
 inline constexpr int kMaxBudgetTokens = kMaxTokensInAsk;
 
-// The most hosts that a response lists; a message with more is not decoded.
+// The most hosts that a response lists; those beyond are left out.
 inline constexpr std::size_t kMaxHostsInResponse = 16;
 
 struct FeedRequest {
