Do not take the time of a pause for the servers' service time

Cause: responses that arrived while the host stood still are read when it runs again, and the pause counted as service time. About a dozen of them raised the mean of the route beyond the time that its requests have. From then on each request was refused as too late, so that no response could correct the mean. The class: an estimate that decides whether it is measured again.

Now a response is not timed if the host may have stood still for longer than the expected service time when it arrived.

Looked for elsewhere: times of probes have a bound of their own; readings and failures of servers expire after seconds.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -361,7 +361,7 @@
 }
 
 ExpectedWork Exchange::Work() const {
-  ExpectedWork work = context_->statistics.Expect(*route_);
+  ExpectedWork work = context_->statistics.Expect(*route_, SteadyClock::now());
   if (const auto& prices = context_->settings.zone_overflow) {
     work.crossing = {prices->byte_between_zones / prices->missed_target,
                      prices->byte_between_regions / prices->missed_target};
@@ -836,7 +836,11 @@
 
 void Exchange::Relay(const AttemptPtr& attempt, ServerResponse&& response,
                      bool is_signed) {
-  const Duration service_time = SteadyClock::now() - attempt->sent_at;
+  const TimePoint now = SteadyClock::now();
+  const Duration service_time = now - attempt->sent_at;
+  // A host that stood still does not know when the response arrived.
+  const bool is_timed =
+      now - context_->EarliestArrival(now) <= Work().service_time;
   CallerResponse relayed;
   relayed.status = response.message.result_int();
   for (const auto& field : response.message) {
@@ -854,10 +858,10 @@
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
   }
-  if (IsSuccess(relayed.status)) {
+  if (IsSuccess(relayed.status) && is_timed) {
     context_->statistics.RecordResponse(
         route_->name, service_time - RoundTrip(attempt->distance),
-        attempt->slowdown, attempt->occupancy, relayed.body.size());
+        attempt->slowdown, attempt->occupancy, relayed.body.size(), now);
     context_->metrics.server_time.Observe(service_time);
   }
   context_->metrics.Count("response_bytes_by_distance",
