--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -275,8 +275,9 @@
 }
 
 void PublishedFeed::OnHistoryExpired() {
-  context_->log.Write("store-history-gone",
-                      {{"revision", static_cast<double>(items_.revision())}});
+  context_->log.Write(
+      "store-history-gone",
+      {{"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
   has_complete_list_ = false;
   RestartList();
   QueryNextSource();
@@ -343,7 +344,8 @@
   MarkHeld(list_queried_at_);
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
-                 {"revision", static_cast<double>(complete_list.revision)}});
+                 {"revision",
+                  static_cast<double>(RevisionInEra(complete_list.revision))}});
   FinishSuccessfulQuery(list_began_at_, made_at - queried_at_.at,
                         Duration::zero());
   return {};
@@ -458,18 +460,20 @@
   }
   if (stale_) return;
   stale_ = true;
-  context_->log.Write("store-lost",
-                      {{"source", source},
-                       {"problem", problem},
-                       {"revision", static_cast<double>(items_.revision())}});
+  context_->log.Write(
+      "store-lost",
+      {{"source", source},
+       {"problem", problem},
+       {"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
   RespondToPending(true);
 }
 
 void PublishedFeed::MarkUpToDate() {
   stale_ = false;
-  context_->log.Write("store-regained",
-                      {{"source", ToString(source_)},
-                       {"revision", static_cast<double>(items_.revision())}});
+  context_->log.Write(
+      "store-regained",
+      {{"source", ToString(source_)},
+       {"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
 }
 
 void PublishedFeed::Merge(const FeedPage& page, int hops,
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "heatherlatch/relay/store_revision.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/suspension.h"
 #include "platform/store_calls.h"
@@ -263,7 +264,7 @@
 void TrafficHost::ApplyZone(const ZoneName& zone, const PublishedItem& item,
                             const ItemOrigin& origin, TimePoint now) {
   zones_back_at_.erase(zone);
-  const double revision = static_cast<double>(item.revision);
+  const double revision = static_cast<double>(RevisionInEra(item.revision));
   if (item.is_deleted && origin.is_restored) {
     zones_back_at_[zone] = now + kRestoreGrace;
     context_.log.Write("zone-order-missing",
@@ -291,7 +292,7 @@
 void TrafficHost::ApplyServer(const std::string& name,
                               const PublishedItem& item,
                               const ItemOrigin& origin, TimePoint now) {
-  const double revision = static_cast<double>(item.revision);
+  const double revision = static_cast<double>(RevisionInEra(item.revision));
   if (item.is_deleted) {
     const std::optional<TimePoint> until = feed_.RelistingEnd(now);
     if (until) {
@@ -340,11 +341,12 @@
   bool& is_newest = context_.table_confirmation.is_newest;
   const auto refuse = [&](std::string_view problem) {
     is_newest = false;
-    context_.log.Write("configuration-refused",
-                       {{"problem", problem},
-                        {"revision", static_cast<double>(item.revision)},
-                        {"source", ToString(origin.source)},
-                        {"hops", static_cast<double>(origin.hops)}});
+    context_.log.Write(
+        "configuration-refused",
+        {{"problem", problem},
+         {"revision", static_cast<double>(RevisionInEra(item.revision))},
+         {"source", ToString(origin.source)},
+         {"hops", static_cast<double>(origin.hops)}});
   };
   boost::leaf::try_handle_all(
       [&]() -> Result<void> {
