--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -17,7 +17,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,11 +65,7 @@
   void Apply(const PublishedItem& item, const ItemOrigin& origin,
              TimePoint now);
   void ApplyServer(const std::string& name, const PublishedItem& item,
-                   const ItemOrigin& origin, TimePoint now);
-  void ApplyZone(const ZoneName& zone, const PublishedItem& item,
-                 const ItemOrigin& origin, TimePoint now);
-  // Puts zones back in service whose order was not written again in time.
-  void ReturnZones(TimePoint now);
+                   TimePoint now);
   // Logs the organisations of which a part cannot be used.
   void LogOrganisations(const OrganisationDirectory& organisations);
   void ApplyRouteTable(const PublishedItem& item, const ItemOrigin& origin);
@@ -107,8 +102,6 @@
   std::optional<TimePoint> stop_began_;
   bool accept_failed_ = false;
   int maintenance_rounds_ = 0;
-  // Zones out of service whose order is missing in a copy of the store.
-  std::map<ZoneName, TimePoint> zones_back_at_;
   Duration suspended_{};  // Total time that the machine was suspended.
 };
 
