--- a/heatherlatch/admission/content_digest.h
+++ b/heatherlatch/admission/content_digest.h
@@ -16,6 +16,12 @@
 ContentDigest DigestOf(std::string_view method, std::string_view target,
                        std::string_view body);
 
+// @param scope  what the caller addressed, such as the host name: the same
+//     method, target and body mean another content there
+// @return as `DigestOf`, over scope, method, target and body
+ContentDigest DigestWithin(std::string_view scope, std::string_view method,
+                           std::string_view target, std::string_view body);
+
 }  // namespace heatherlatch
 
 #endif  // HEATHERLATCH_ADMISSION_CONTENT_DIGEST_H_
--- a/heatherlatch/admission/crash_suspects.cc
+++ b/heatherlatch/admission/crash_suspects.cc
@@ -7,20 +7,18 @@
 CrashSuspects::CrashSuspects(CrashSuspectsOptions options)
     : options_(options) {}
 
-SuspectVerdict CrashSuspects::Admit(const ServiceName& service,
-                                    ContentDigest digest, TimePoint now) {
-  const Key key(service, digest);
-  const auto found = suspects_.find(key);
+SuspectVerdict CrashSuspects::Admit(ContentDigest digest, TimePoint now) {
+  const auto found = suspects_.find(digest);
   if (found == suspects_.end() || IsExpired(found->second, now)) {
-    CountRunning(key);
+    CountRunning(digest);
     return SuspectVerdict::kClear;
   }
   Suspect& suspect = found->second;
   if (suspect.crashes >= options_.crashes_before_refusal || suspect.unshared) {
     return SuspectVerdict::kRefuse;
   }
-  if (running_.count(key) > 0) return SuspectVerdict::kWait;
-  CountRunning(key);
+  if (running_.count(digest) > 0) return SuspectVerdict::kWait;
+  CountRunning(digest);
   suspect.isolated_running = true;
   return SuspectVerdict::kIsolate;
 }
@@ -28,16 +26,15 @@
 SuspectNotice CrashSuspects::OnEnd(const ServiceName& service,
                                    ContentDigest digest, bool server_lost,
                                    TimePoint now) {
-  const Key key(service, digest);
-  if (!UncountRunning(key)) return {};
-  const auto found = suspects_.find(key);
+  if (!UncountRunning(digest)) return {};
+  const auto found = suspects_.find(digest);
   const bool isolated =
       found != suspects_.end() && found->second.isolated_running;
   if (!server_lost) {
     if (isolated) suspects_.erase(found);
     return {};
   }
-  Suspect& suspect = FindOrAdd(key);
+  Suspect& suspect = FindOrAdd(digest);
   suspect.crashes =
       isolated ? suspect.crashes + 1 : std::max(suspect.crashes, 1);
   suspect.isolated_running = false;
@@ -45,30 +42,26 @@
   return {digest, service, suspect.crashes, Duration::zero()};
 }
 
-void CrashSuspects::OnInconclusiveEnd(const ServiceName& service,
-                                      ContentDigest digest) {
-  const Key key(service, digest);
-  if (!UncountRunning(key)) return;
-  const auto found = suspects_.find(key);
+void CrashSuspects::OnInconclusiveEnd(ContentDigest digest) {
+  if (!UncountRunning(digest)) return;
+  const auto found = suspects_.find(digest);
   if (found != suspects_.end()) found->second.isolated_running = false;
 }
 
 void CrashSuspects::Merge(const SuspectNotice& notice, TimePoint now) {
   if (notice.crashes <= 0 || notice.age >= options_.retention) return;
-  Suspect& suspect = FindOrAdd({notice.service, notice.digest});
+  Suspect& suspect = FindOrAdd(notice.digest);
   suspect.crashes = std::max(suspect.crashes, notice.crashes);
   suspect.last_crash = std::max(suspect.last_crash, now - notice.age);
 }
 
-void CrashSuspects::SetShared(const ServiceName& service, ContentDigest digest,
-                              bool shared) {
-  const auto found = suspects_.find({service, digest});
+void CrashSuspects::SetShared(ContentDigest digest, bool shared) {
+  const auto found = suspects_.find(digest);
   if (found != suspects_.end()) found->second.unshared = !shared;
 }
 
-bool CrashSuspects::IsUnshared(const ServiceName& service, ContentDigest digest,
-                               TimePoint now) const {
-  const auto found = suspects_.find({service, digest});
+bool CrashSuspects::IsUnshared(ContentDigest digest, TimePoint now) const {
+  const auto found = suspects_.find(digest);
   return found != suspects_.end() && found->second.unshared &&
          !IsExpired(found->second, now);
 }
@@ -85,20 +78,20 @@
   return now - suspect.last_crash >= options_.retention;
 }
 
-void CrashSuspects::CountRunning(const Key& key) { ++running_[key]; }
+void CrashSuspects::CountRunning(ContentDigest digest) { ++running_[digest]; }
 
-bool CrashSuspects::UncountRunning(const Key& key) {
-  const auto found = running_.find(key);
+bool CrashSuspects::UncountRunning(ContentDigest digest) {
+  const auto found = running_.find(digest);
   if (found == running_.end()) return false;
   if (--found->second == 0) running_.erase(found);
   return true;
 }
 
-CrashSuspects::Suspect& CrashSuspects::FindOrAdd(const Key& key) {
-  const auto found = suspects_.find(key);
+CrashSuspects::Suspect& CrashSuspects::FindOrAdd(ContentDigest digest) {
+  const auto found = suspects_.find(digest);
   if (found != suspects_.end()) return found->second;
   if (suspects_.size() >= options_.max_suspects) EvictLeastSuspicious();
-  return suspects_[key];
+  return suspects_[digest];
 }
 
 void CrashSuspects::EvictLeastSuspicious() {
--- a/heatherlatch/admission/crash_suspects.h
+++ b/heatherlatch/admission/crash_suspects.h
@@ -1,7 +1,8 @@
 // Detects request contents that crash the backend servers that run them.
 //
 // A request is identified by the digest of its content, so that it is
-// recognised when it is sent again under a new ID. When a server becomes
+// recognised when it is sent again under a new ID, whatever service its route
+// leads to by then. When a server becomes
 // unavailable while requests run on it, which counts as a crash, the content of
 // each of them becomes a suspect. A suspect runs isolated: on a server that
 // runs nothing else, one request of a content at a time, after the requests of
@@ -22,7 +23,7 @@
 // content; the entry process shares them with hosts of the home regions only.
 //
 // Example:
-//   switch (suspects.Admit(service, digest, now)) ...
+//   switch (suspects.Admit(digest, now)) ...
 //   ... run the request, alone on a server for kIsolate ...
 //   SuspectNotice notice = suspects.OnEnd(service, digest, server_lost, now);
 //   if (notice.crashes > 0) ... send the notice to peers ...
@@ -33,7 +34,6 @@
 
 #include <cstdint>
 #include <map>
-#include <utility>
 #include <vector>
 
 #include "heatherlatch/base/name.h"
@@ -54,9 +54,9 @@
 // A suspect as shared between hosts.
 struct SuspectNotice {
   ContentDigest digest = 0;
-  ServiceName service;
-  int crashes = 0;  // Counted towards refusal; 0: the notice is empty.
-  Duration age{};   // Since the last crash.
+  ServiceName service;  // Of the server that crashed last.
+  int crashes = 0;      // Counted towards refusal; 0: the notice is empty.
+  Duration age{};       // Since the last crash.
 };
 
 struct CrashSuspectsOptions {
@@ -72,12 +72,12 @@
 
   // Decides how to run a request. `kClear` and `kIsolate` count it as running
   // until `OnEnd` or `OnInconclusiveEnd`.
-  SuspectVerdict Admit(const ServiceName& service, ContentDigest digest,
-                       TimePoint now);
+  SuspectVerdict Admit(ContentDigest digest, TimePoint now);
 
   // Records that an admitted request ended with a complete response, or that
   // its server became unavailable. Any other end is recorded with
   // `OnInconclusiveEnd`.
+  // @param service      of the server
   // @param server_lost  the server closed or reset the connection, or could no
   //                     longer be reached, before its response was complete
   // @return the notice to share where the content is a suspect because of this
@@ -87,7 +87,7 @@
 
   // Records that an admitted request ended without evidence for or against its
   // content: it was not sent, shed, cancelled or timed out.
-  void OnInconclusiveEnd(const ServiceName& service, ContentDigest digest);
+  void OnInconclusiveEnd(ContentDigest digest);
 
   // Merges a notice of a peer: the higher crash count and the later crash are
   // kept. A notice past the retention period is ignored.
@@ -95,10 +95,9 @@
 
   // Records whether another host that all hosts ask knows of a suspect. Until
   // the first call it counts as known. Does nothing for any other content.
-  void SetShared(const ServiceName& service, ContentDigest digest, bool shared);
+  void SetShared(ContentDigest digest, bool shared);
   // @return whether the content is a suspect that no other host knows of
-  bool IsUnshared(const ServiceName& service, ContentDigest digest,
-                  TimePoint now) const;
+  bool IsUnshared(ContentDigest digest, TimePoint now) const;
 
   // Removes the suspects that are past the retention period, except those
   // running isolated.
@@ -113,21 +112,20 @@
     bool unshared = false;
     TimePoint last_crash;
   };
-  using Key = std::pair<ServiceName, ContentDigest>;
 
   bool IsExpired(const Suspect& suspect, TimePoint now) const;
-  void CountRunning(const Key& key);
+  void CountRunning(ContentDigest digest);
   // @return whether a request of the content was counted as running
-  bool UncountRunning(const Key& key);
+  bool UncountRunning(ContentDigest digest);
   // @return the suspect, added if absent; another is evicted where the table is
   //     full
-  Suspect& FindOrAdd(const Key& key);
+  Suspect& FindOrAdd(ContentDigest digest);
   void EvictLeastSuspicious();
 
   CrashSuspectsOptions options_;
-  std::map<Key, Suspect> suspects_;
+  std::map<ContentDigest, Suspect> suspects_;
   // Number of admitted requests that have not ended, by content.
-  std::map<Key, int> running_;
+  std::map<ContentDigest, int> running_;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/admission/crash_suspects_test.cc
+++ b/heatherlatch/admission/crash_suspects_test.cc
@@ -22,21 +22,32 @@
 
 // Makes a content a suspect by a crash on a shared server.
 void CrashWith(CrashSuspects& suspects, ContentDigest digest, TimePoint now) {
-  suspects.Admit(kService, digest, now);
+  suspects.Admit(digest, now);
   suspects.OnEnd(kService, digest, /*server_lost=*/true, now);
 }
 
 TEST_CASE("a suspect that no other host knows of is refused") {
   CrashSuspects suspects((CrashSuspectsOptions()));
   const TimePoint now{std::chrono::hours(1)};
-  suspects.SetShared(kService, kCrashing, false);
-  CHECK_FALSE(suspects.IsUnshared(kService, kCrashing, now));
+  suspects.SetShared(kCrashing, false);
+  CHECK_FALSE(suspects.IsUnshared(kCrashing, now));
   CrashWith(suspects, kCrashing, now);
-  suspects.SetShared(kService, kCrashing, false);
-  CHECK(suspects.IsUnshared(kService, kCrashing, now));
-  CHECK(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kRefuse);
-  suspects.SetShared(kService, kCrashing, true);
-  CHECK(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kIsolate);
+  suspects.SetShared(kCrashing, false);
+  CHECK(suspects.IsUnshared(kCrashing, now));
+  CHECK(suspects.Admit(kCrashing, now) == SuspectVerdict::kRefuse);
+  suspects.SetShared(kCrashing, true);
+  CHECK(suspects.Admit(kCrashing, now) == SuspectVerdict::kIsolate);
+}
+
+// Guards against a count for each service: a content whose route is split or
+// moved crashed as many servers of each.
+TEST_CASE("crashes of a content count whatever the service") {
+  CrashSuspects suspects((CrashSuspectsOptions()));
+  const TimePoint now{std::chrono::hours(1)};
+  CrashWith(suspects, kCrashing, now);
+  REQUIRE(suspects.Admit(kCrashing, now) == SuspectVerdict::kIsolate);
+  suspects.OnEnd(ServiceName("tally"), kCrashing, /*server_lost=*/true, now);
+  CHECK(suspects.Admit(kCrashing, now) == SuspectVerdict::kRefuse);
 }
 
 // A request running on a server: the host that admitted it, and its content.
@@ -76,7 +87,7 @@
   // Runs a content on one of three shared servers, or on an idle one if it is
   // isolated.
   void Send(std::size_t host, ContentDigest digest, int server_choice) {
-    const SuspectVerdict verdict = hosts_[host].Admit(kService, digest, now_);
+    const SuspectVerdict verdict = hosts_[host].Admit(digest, now_);
     if (digest != kCrashing) RC_ASSERT(verdict != SuspectVerdict::kRefuse);
     if (verdict == SuspectVerdict::kRefuse) return;
     if (verdict == SuspectVerdict::kWait) return;
@@ -173,10 +184,10 @@
   const TimePoint now{minutes(10)};
   CrashSuspects suspects{CrashSuspectsOptions()};
   CrashWith(suspects, kHarmless, now);
-  CHECK(suspects.Admit(kService, kHarmless, now) == SuspectVerdict::kIsolate);
-  CHECK(suspects.Admit(kService, kHarmless, now) == SuspectVerdict::kWait);
+  CHECK(suspects.Admit(kHarmless, now) == SuspectVerdict::kIsolate);
+  CHECK(suspects.Admit(kHarmless, now) == SuspectVerdict::kWait);
   suspects.OnEnd(kService, kHarmless, false, now);
-  CHECK(suspects.Admit(kService, kHarmless, now) == SuspectVerdict::kClear);
+  CHECK(suspects.Admit(kHarmless, now) == SuspectVerdict::kClear);
   CHECK(suspects.size() == 0);
 }
 
@@ -184,23 +195,23 @@
   const TimePoint now{minutes(10)};
   CrashSuspects suspects{CrashSuspectsOptions()};
   CrashWith(suspects, kCrashing, now);
-  REQUIRE(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kIsolate);
-  suspects.OnInconclusiveEnd(kService, kCrashing);
-  REQUIRE(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kIsolate);
+  REQUIRE(suspects.Admit(kCrashing, now) == SuspectVerdict::kIsolate);
+  suspects.OnInconclusiveEnd(kCrashing);
+  REQUIRE(suspects.Admit(kCrashing, now) == SuspectVerdict::kIsolate);
   CHECK(suspects.OnEnd(kService, kCrashing, true, now).crashes == 2);
-  CHECK(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kRefuse);
+  CHECK(suspects.Admit(kCrashing, now) == SuspectVerdict::kRefuse);
 }
 
 TEST_CASE("a suspect waits for its requests that ran at the first crash") {
   const TimePoint now{minutes(10)};
   CrashSuspects suspects{CrashSuspectsOptions()};
-  suspects.Admit(kService, kHarmless, now);
-  suspects.Admit(kService, kHarmless, now);
+  suspects.Admit(kHarmless, now);
+  suspects.Admit(kHarmless, now);
   suspects.OnEnd(kService, kHarmless, true, now);
-  CHECK(suspects.Admit(kService, kHarmless, now) == SuspectVerdict::kWait);
+  CHECK(suspects.Admit(kHarmless, now) == SuspectVerdict::kWait);
   // Two shared servers crashed, which does not count towards refusal.
   suspects.OnEnd(kService, kHarmless, true, now);
-  CHECK(suspects.Admit(kService, kHarmless, now) == SuspectVerdict::kIsolate);
+  CHECK(suspects.Admit(kHarmless, now) == SuspectVerdict::kIsolate);
 }
 
 TEST_CASE("a suspect is removed after the retention period") {
@@ -228,9 +239,9 @@
     CrashWith(suspects, digest, now);
     REQUIRE(suspects.size() <= options.max_suspects);
   }
-  CHECK(suspects.Admit(kService, kCrashing, now) == SuspectVerdict::kRefuse);
-  CHECK(suspects.Admit(kService, 29, now) == SuspectVerdict::kIsolate);
-  CHECK(suspects.Admit(kService, 10, now) == SuspectVerdict::kClear);
+  CHECK(suspects.Admit(kCrashing, now) == SuspectVerdict::kRefuse);
+  CHECK(suspects.Admit(29, now) == SuspectVerdict::kIsolate);
+  CHECK(suspects.Admit(10, now) == SuspectVerdict::kClear);
 }
 
 }  // namespace
--- a/heatherlatch/entry/dispatcher.cc
+++ b/heatherlatch/entry/dispatcher.cc
@@ -141,8 +141,8 @@
 
 DispatchResult Dispatcher::Dispatch(const DispatchRequest& request,
                                     const ResponseSink& sink) {
-  const ContentDigest digest =
-      DigestOf(request.method, request.target, request.body);
+  const ContentDigest digest = DigestWithin(request.route.str(), request.method,
+                                            request.target, request.body);
   DispatchResult result;
   std::vector<BackendServerName> excluded;
   std::optional<Unknown> earlier_unknown;
@@ -192,8 +192,7 @@
     SuspectVerdict verdict;
     {
       std::lock_guard lock(mutex_);
-      verdict =
-          suspects_.Admit(request.service->name, digest, SteadyClock::now());
+      verdict = suspects_.Admit(digest, SteadyClock::now());
     }
     *isolated = verdict == SuspectVerdict::kIsolate;
     if (verdict == SuspectVerdict::kRefuse) {
@@ -314,7 +313,7 @@
 void Dispatcher::RecordEndWithoutResponse(const DispatchRequest& request,
                                           ContentDigest digest) {
   std::lock_guard lock(mutex_);
-  suspects_.OnInconclusiveEnd(request.service->name, digest);
+  suspects_.OnInconclusiveEnd(digest);
 }
 
 bool Dispatcher::SpendRetry() {
--- a/heatherlatch/fleet/server_directory.cc
+++ b/heatherlatch/fleet/server_directory.cc
@@ -10,10 +10,31 @@
   entry.record = record;
   entry.cold_until = now + record.cold_remaining;
   entry.expires_at.reset();
+  entry.usable_from = TimePoint::min();
 }
 
-void ServerDirectory::Remove(const BackendServerName& name) {
-  entries_.erase(name);
+void ServerDirectory::PutFromCopy(const ServerRecord& record, TimePoint now,
+                                  TimePoint left_until) {
+  const auto is_later_start = [&record](std::uint64_t started_at_ms) {
+    return record.started_at_ms > started_at_ms;
+  };
+  const auto known = entries_.find(record.name);
+  if (known != entries_.end() && known->second.record.draining &&
+      !is_later_start(known->second.record.started_at_ms)) {
+    return;
+  }
+  Put(record, now);
+  const auto left = left_.find(record.name);
+  if (left != left_.end() && !is_later_start(left->second.started_at_ms)) {
+    entries_[record.name].usable_from = left_until;
+  }
+}
+
+void ServerDirectory::Remove(const BackendServerName& name, TimePoint now) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end()) return;
+  left_[name] = {found->second.record.started_at_ms, now};
+  entries_.erase(found);
 }
 
 void ServerDirectory::MarkMissing(const BackendServerName& name,
@@ -28,6 +49,10 @@
     const std::optional<TimePoint>& until = it->second.expires_at;
     it = until && *until <= now ? entries_.erase(it) : std::next(it);
   }
+  for (auto it = left_.begin(); it != left_.end();) {
+    it = now - it->second.removed_at >= kLeftServerRetention ? left_.erase(it)
+                                                             : std::next(it);
+  }
 }
 
 void ServerDirectory::SetZoneInService(const ZoneName& zone, bool in_service) {
@@ -57,7 +82,7 @@
 }
 
 bool ServerDirectory::IsUsable(const ServerEntry& entry, TimePoint now) const {
-  return !entry.record.draining &&
+  return !entry.record.draining && now >= entry.usable_from &&
          zones_out_of_service_.count(entry.record.zone) == 0 &&
          (!entry.expires_at || now < *entry.expires_at);
 }
--- a/heatherlatch/fleet/server_directory.h
+++ b/heatherlatch/fleet/server_directory.h
@@ -40,23 +40,35 @@
   // End of the grace period; set while the server is missing from the
   // platform's list.
   std::optional<TimePoint> expires_at;
+  TimePoint usable_from = TimePoint::min();
 };
 
+// How long a server that has left is remembered: longer than a copy of the
+// platform's list may be behind.
+inline constexpr Duration kLeftServerRetention = std::chrono::seconds(30);
+
 class ServerDirectory {
  public:
   // Adds or updates a server, and ends its grace period. A record of an earlier
   // start than the stored one is ignored.
   void Put(const ServerRecord& record, TimePoint now);
 
+  // Adds or updates a server by what a copy says of it that may be some seconds
+  // old. A server that was draining stays so, and one that has left is not
+  // usable before `left_until`, unless it was started again since.
+  void PutFromCopy(const ServerRecord& record, TimePoint now,
+                   TimePoint left_until);
+
   // Removes a server without a grace period.
-  void Remove(const BackendServerName& name);
+  void Remove(const BackendServerName& name, TimePoint now);
 
   // Starts the grace period of a server that is missing from the platform's
   // list: it is removed at `until` unless it is listed again before. Does
   // nothing for an unknown server, or one that is already marked.
   void MarkMissing(const BackendServerName& name, TimePoint until);
 
-  // Removes the servers whose grace period has ended.
+  // Removes the servers whose grace period has ended, and forgets those that
+  // left long ago.
   void Expire(TimePoint now);
 
   // Excludes the servers of an availability zone, or includes them again.
@@ -77,7 +89,13 @@
  private:
   bool IsUsable(const ServerEntry& entry, TimePoint now) const;
 
+  struct LeftServer {
+    std::uint64_t started_at_ms = 0;
+    TimePoint removed_at;
+  };
+
   std::map<BackendServerName, ServerEntry> entries_;
+  std::map<BackendServerName, LeftServer> left_;
   std::set<ZoneName> zones_out_of_service_;
 };
 
--- a/heatherlatch/fleet/server_directory_test.cc
+++ b/heatherlatch/fleet/server_directory_test.cc
@@ -34,10 +34,37 @@
   directory.Put(draining, kStart);
   CHECK(directory.Usable(kService, kStart).empty());
   directory.Put(MakeRecord(), kStart);
-  directory.Remove(kServer);
+  directory.Remove(kServer, kStart);
   CHECK(directory.FindUsable(kServer, kStart) == nullptr);
 }
 
+// Guards against a store restored from a copy in which a server is still ready.
+TEST_CASE("a copy brings back no server that drains or has left") {
+  const TimePoint left_until = kStart + seconds(5);
+  ServerRecord record = MakeRecord();
+  record.started_at_ms = 7;
+  ServerDirectory directory;
+  record.draining = true;
+  directory.Put(record, kStart);
+  record.draining = false;
+  directory.PutFromCopy(record, kStart, left_until);
+  CHECK(directory.FindUsable(kServer, left_until) == nullptr);
+  directory.Remove(kServer, kStart);
+  directory.PutFromCopy(record, kStart, left_until);
+  CHECK(directory.FindUsable(kServer, kStart + seconds(4)) == nullptr);
+  CHECK(directory.FindUsable(kServer, left_until) != nullptr);
+  SECTION("but what the server writes itself holds") {
+    directory.Put(record, kStart);
+    CHECK(directory.FindUsable(kServer, kStart) != nullptr);
+  }
+  SECTION("but a later start of the server is another server") {
+    directory.Remove(kServer, kStart);
+    record.started_at_ms = 8;
+    directory.PutFromCopy(record, kStart, left_until);
+    CHECK(directory.FindUsable(kServer, kStart) != nullptr);
+  }
+}
+
 TEST_CASE("servers of a zone out of service are not usable until it is back",
           "[promise-03]") {
   ServerDirectory directory;
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace heatherlatch {
@@ -206,6 +208,29 @@
   return grants;
 }
 
+std::optional<Endpoint> ToEndpoint(const Json& encoded) {
+  if (!encoded.is_string()) return std::nullopt;
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<Endpoint>> {
+        BOOST_LEAF_AUTO(endpoint, ParseEndpoint(encoded.get<std::string>()));
+        return std::optional<Endpoint>(std::move(endpoint));
+      },
+      [] { return std::optional<Endpoint>(); });
+}
+
+// Hosts of an earlier version list no hosts. One that cannot be read is left
+// out.
+std::vector<Endpoint> ToHosts(const Json& message) {
+  std::vector<Endpoint> hosts;
+  if (!message.contains("hosts")) return hosts;
+  for (const Json& encoded : message.at("hosts")) {
+    if (hosts.size() == kMaxHostsInResponse) break;
+    auto host = ToEndpoint(encoded);
+    if (host) hosts.push_back(std::move(*host));
+  }
+  return hosts;
+}
+
 }  // namespace
 
 bool IsUpToDate(const FeedResponse& response) {
@@ -219,6 +244,8 @@
   if (!request.suspects.empty()) {
     json["suspects"] = ToJson(request.suspects);
   }
+  if (request.wants_all_suspects) json["all_suspects"] = true;
+  if (request.wants_hosts) json["wants_hosts"] = true;
   if (!request.cold_servers.empty()) {
     json["cold"] = ToJson(request.cold_servers);
   }
@@ -249,6 +276,9 @@
   if (!response.permitted_servers.empty()) {
     json["permits"] = ToJson(response.permitted_servers);
   }
+  for (const Endpoint& host : response.hosts) {
+    json["hosts"].push_back(ToString(host));
+  }
   if (!response.budget_grants.empty()) {
     json["grants"] = ToJson(response.budget_grants);
   }
@@ -264,6 +294,8 @@
     BOOST_LEAF_ASSIGN(request.requester,
                       ParseEndpoint(message.at("from").get<std::string>()));
     request.suspects = ToNotices(message);
+    request.wants_all_suspects = message.value("all_suspects", false);
+    request.wants_hosts = message.value("wants_hosts", false);
     request.cold_servers = ToServers(message, "cold");
     request.budget_asks = ToAsks(message);
     return request;
@@ -290,6 +322,7 @@
     response.suspects = ToNotices(message);
     response.permitted_servers = ToServers(message, "permits");
     response.budget_grants = ToGrants(message);
+    response.hosts = ToHosts(message);
     for (const Json& item : message.at("items")) {
       try {
         response.page.items.push_back(ToItem(item));
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -31,17 +31,24 @@
 inline constexpr std::size_t kMaxBudgetSubjectBytes = 256;
 inline constexpr int kMaxBudgetTokens = kMaxTokensInAsk;
 
+// The most hosts that a response lists; those beyond are left out.
+inline constexpr std::size_t kMaxHostsInResponse = 16;
+
 struct FeedRequest {
   Endpoint requester;  // Where the requesting host can be queried in turn.
   std::uint64_t after_revision = 0;     // Only later changes are requested.
   std::chrono::milliseconds wait{};     // How long to wait for a change.
   std::vector<SuspectNotice> suspects;  // Notices of the requesting host.
+  // Whether to state all notices, not only those learnt lately.
+  bool wants_all_suspects = false;
   // Servers in cold start for which the requesting host asks for permits; the
   // response then states only those.
   std::vector<BackendServerName> cold_servers;
   // Tokens for which the requesting host asks; the response then states only
   // `budget_grants`.
   std::vector<BudgetAsk> budget_asks = {};
+  // Whether to list some hosts.
+  bool wants_hosts = false;
 };
 
 // The most hosts that may lie between a responding host and the store for its
@@ -74,6 +81,7 @@
   // The servers in cold start for which a permit was issued.
   std::vector<BackendServerName> permitted_servers;
   std::vector<BudgetGrant> budget_grants;
+  std::vector<Endpoint> hosts;  // Some that the responding host heard of.
   // Items that could not be read, and are not in `page`.
   int unreadable_items = 0;
 };
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -20,6 +20,7 @@
       77,
       milliseconds(600),
       {suspect},
+      true,
       {BackendServerName("i-1"), BackendServerName("i-2")}};
   const auto decoded_request = ValueOf(DecodeFeedRequest(Encode(request)));
   REQUIRE(decoded_request);
@@ -27,6 +28,9 @@
   CHECK(decoded_request->after_revision == 77);
   CHECK(decoded_request->wait == milliseconds(600));
   CHECK(decoded_request->cold_servers == request.cold_servers);
+  CHECK(decoded_request->wants_all_suspects);
+  CHECK_FALSE(ValueOf(DecodeFeedRequest(Encode(FeedRequest{{"10.0.0.1", 1}})))
+                  ->wants_all_suspects);
   REQUIRE(decoded_request->suspects.size() == 1);
   CHECK(decoded_request->suspects[0].digest == suspect.digest);
   CHECK(decoded_request->suspects[0].service == suspect.service);
@@ -43,6 +47,7 @@
   response.store_was_unavailable = true;
   response.suspects = {suspect, suspect};
   response.permitted_servers = {BackendServerName("i-2")};
+  response.hosts = {{"10.0.0.2", 8544}, {"10.0.0.3", 8545}};
   const auto decoded_response = ValueOf(DecodeFeedResponse(Encode(response)));
   REQUIRE(decoded_response);
   CHECK(decoded_response->page.is_complete);
@@ -55,6 +60,15 @@
   CHECK(decoded_response->store_was_unavailable);
   CHECK(decoded_response->suspects.size() == 2);
   CHECK(decoded_response->permitted_servers == response.permitted_servers);
+  CHECK(decoded_response->hosts == response.hosts);
+  response.hosts.assign(kMaxHostsInResponse + 1, {"10.0.0.2", 8544});
+  const auto with_many = ValueOf(DecodeFeedResponse(Encode(response)));
+  REQUIRE(with_many);
+  CHECK(with_many->hosts.size() == kMaxHostsInResponse);
+  response.hosts = {{"no address", 8544}, {"10.0.0.2", 8544}};
+  const auto with_odd = ValueOf(DecodeFeedResponse(Encode(response)));
+  REQUIRE(with_odd);
+  CHECK(with_odd->hosts == std::vector<Endpoint>{{"10.0.0.2", 8544}});
 }
 
 TEST_CASE("tokens of bounds are decoded as they were encoded") {
--- a/heatherlatch/relay/published_items.cc
+++ b/heatherlatch/relay/published_items.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "heatherlatch/relay/store_revision.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -18,6 +20,12 @@
   for (const PublishedItem& item : page.items) {
     PublishedItem& stored = items_[item.key];
     if (!stored.key.empty() && stored.revision >= item.revision) continue;
+    const bool is_same =
+        !stored.is_deleted && !item.is_deleted && stored.value == item.value;
+    if (is_same && EraOf(stored.revision) < EraOf(item.revision)) {
+      stored.revision = item.revision;
+      continue;
+    }
     if (stored.is_deleted) --tombstone_count_;
     if (item.is_deleted) ++tombstone_count_;
     stored = item;
--- a/heatherlatch/relay/published_items.h
+++ b/heatherlatch/relay/published_items.h
@@ -23,7 +23,7 @@
 struct PublishedItem {
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;  // Of its last change.
+  std::uint64_t revision = 0;  // Of its last change, with its era.
   bool is_deleted = false;     // A tombstone: deleted, without a value.
 };
 
@@ -44,7 +44,8 @@
 class PublishedItems {
  public:
   // Stores the items that are newer than the stored ones. A complete page also
-  // deletes the stored items that it does not list, unless they are newer.
+  // deletes the stored items that it does not list, unless they are newer. An
+  // item that a restore of the store left as it was does not count as changed.
   // @return the items that changed, in the order of their revisions
   std::vector<PublishedItem> Merge(const FeedPage& page);
 
--- a/heatherlatch/relay/published_items_test.cc
+++ b/heatherlatch/relay/published_items_test.cc
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "heatherlatch/relay/store_revision.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -38,6 +40,26 @@
   CHECK(changed[1].is_deleted);
 }
 
+TEST_CASE("of a restored store, only what differs has changed") {
+  const std::uint64_t before = OrderedRevision(1, 50);
+  const std::uint64_t after = OrderedRevision(2, 40);
+  PublishedItems items;
+  items.Merge({true,
+               before,
+               {{"same", "1", before, false},
+                {"other", "2", before, false},
+                {"lost", "3", before, false}}});
+  const auto changed = items.Merge(
+      {true,
+       after,
+       {{"same", "1", after, false}, {"other", "4", after, false}}});
+  CHECK(Existing(items) == KeyValues{{"same", "1"}, {"other", "4"}});
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[0].key == "lost");
+  CHECK(changed[1].key == "other");
+  CHECK(items.ChangesSince(before).is_complete);
+}
+
 TEST_CASE("a host that missed dropped tombstones gets the complete list") {
   PublishedItems items;
   items.Merge({true, 100, {{"a", "1", 50, false}}});
--- a/heatherlatch/relay/relisting_window.cc
+++ b/heatherlatch/relay/relisting_window.cc
@@ -14,6 +14,10 @@
   confirmed_at_ = std::max(confirmed_at_.value_or(confirmed_at), confirmed_at);
 }
 
+void RelistingWindow::OnRestored(TimePoint confirmed_at) {
+  ends_at_ = confirmed_at + kRelistingGrace;
+}
+
 std::optional<TimePoint> RelistingWindow::End(TimePoint now) const {
   if (store_unavailable_ &&
       (!confirmed_at_ || now - *confirmed_at_ >= kMinExpiryOutage)) {
--- a/heatherlatch/relay/relisting_window.h
+++ b/heatherlatch/relay/relisting_window.h
@@ -48,6 +48,11 @@
   // @param confirmed_at  when the store did so
   void OnConfirmed(TimePoint confirmed_at);
 
+  // Records that the store was restored from a copy, in which entries of
+  // servers may be missing that are written again.
+  // @param confirmed_at  when the store first confirmed items thereafter
+  void OnRestored(TimePoint confirmed_at);
+
   // @return until when a server whose entry is removed now may be listed again;
   //     nothing: the server has left
   std::optional<TimePoint> End(TimePoint now) const;
--- a/heatherlatch/relay/shared_suspects.h
+++ b/heatherlatch/relay/shared_suspects.h
@@ -1,8 +1,9 @@
 // Notices of contents that crash servers, as hosts pass them on to each other.
 //
-// A notice is sent for a few seconds, so that every host that follows another
-// receives it, and is then dropped here. CrashSuspects keeps what a host
-// concludes from it.
+// A notice is passed on for a few seconds after it was learnt, so that every
+// host that follows another receives it. It is kept for as long as the content
+// is suspected, for hosts that were not there to receive it: those that start,
+// and those that were cut off.
 //
 // Example:
 //   if (shared.Add(notice, now)) crash_suspects.Merge(notice, now);
@@ -13,8 +14,8 @@
 #define HEATHERLATCH_RELAY_SHARED_SUSPECTS_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
-#include <utility>
 #include <vector>
 
 #include "heatherlatch/admission/crash_suspects.h"
@@ -22,33 +23,44 @@
 
 namespace heatherlatch {
 
-// How long after the crash a notice is sent to other hosts: several rounds of
-// the requests between hosts.
+// How long a notice is passed on after it was learnt: several rounds of the
+// requests between hosts.
 inline constexpr Duration kSuspectNoticeLifetime = std::chrono::seconds(5);
-// The most notices that are kept and sent; the oldest is dropped for a new one.
-// Keeps them a small part of a response that lists the published items.
+// How long after the crash a notice is kept.
+inline constexpr Duration kSuspectNoticeRetention = std::chrono::minutes(1);
+// The most notices that are kept and sent. Keeps them a small part of a
+// response that lists the published items. Of more, the notice with the fewest
+// crashes, and of these the one with the oldest crash, is dropped.
 inline constexpr std::size_t kMaxSharedSuspects = 32;
 
 class SharedSuspects {
  public:
   // Stores a notice, unless it is too old or a stored one for the same content
-  // counts as many crashes.
+  // counts more crashes, or as many of which the last was no earlier but for
+  // the delay of messages. Each host thus passes a notice on once.
   // @return whether the notice was stored
   bool Add(const SuspectNotice& notice, TimePoint now);
 
-  // @return the notices to send to other hosts, with their age
+  // @return the notices learnt lately, with their age
   std::vector<SuspectNotice> Recent(TimePoint now) const;
+  // @return all notices, with their age
+  std::vector<SuspectNotice> All(TimePoint now) const;
 
  private:
-  using Key = std::pair<ServiceName, ContentDigest>;
   struct Entry {
+    ServiceName service;
     int crashes = 0;
     TimePoint crashed_at;
+    TimePoint learnt_at;
   };
 
   void Prune(TimePoint now);
+  void DropLeastSuspicious();
+  std::vector<SuspectNotice> Select(
+      TimePoint now,
+      const std::function<bool(const Entry&)>& is_selected) const;
 
-  std::map<Key, Entry> entries_;
+  std::map<ContentDigest, Entry> entries_;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/relay/shared_suspects_test.cc
+++ b/heatherlatch/relay/shared_suspects_test.cc
@@ -34,10 +34,29 @@
   for (const SuspectNotice& notice : first.Recent(later)) {
     CHECK(second.Add(notice, later));
   }
-  CHECK(second.Recent(later + seconds(1)).size() == 1);
-  CHECK(second.Recent(later + seconds(2)).empty());
-  // Two hosts cannot keep a notice alive between them.
-  CHECK_FALSE(second.Add(Notice(7, 1, kSuspectNoticeLifetime), later));
+  // Each host passes it on for as long, and only once, so that two hosts cannot
+  // keep it alive between them.
+  CHECK(first.Recent(kStart + kSuspectNoticeLifetime).empty());
+  const TimePoint end = later + kSuspectNoticeLifetime;
+  REQUIRE(second.Recent(end - milliseconds(1)).size() == 1);
+  CHECK(second.Recent(end - milliseconds(1))[0].age ==
+        seconds(3) + kSuspectNoticeLifetime - milliseconds(1));
+  CHECK(second.Recent(end).empty());
+  for (const SuspectNotice& notice : second.All(end)) {
+    CHECK_FALSE(first.Add(notice, end));
+  }
+}
+
+// Guards against notices that are gone before a restarted host asks for them.
+TEST_CASE("notices are kept for hosts that were away") {
+  SharedSuspects shared;
+  shared.Add(Notice(7, 3), kStart);
+  const TimePoint end = kStart + kSuspectNoticeRetention;
+  const auto kept = shared.All(end - milliseconds(1));
+  REQUIRE(kept.size() == 1);
+  CHECK(kept[0].crashes == 3);
+  CHECK(shared.All(end).empty());
+  CHECK_FALSE(shared.Add(Notice(7, 4, kSuspectNoticeRetention), end));
 }
 
 TEST_CASE("the number of notices is bounded, and the latest are kept") {
@@ -52,5 +71,16 @@
   }
 }
 
+TEST_CASE("contents that crashed most servers are kept") {
+  SharedSuspects shared;
+  shared.Add(Notice(7, 2, seconds(40)), kStart);
+  for (std::size_t i = 0; i < 2 * kMaxSharedSuspects; ++i) {
+    shared.Add(Notice(100 + i, 1), kStart);
+  }
+  const auto kept = shared.All(kStart);
+  REQUIRE(kept.size() == kMaxSharedSuspects);
+  CHECK(kept[0].digest == 7);
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -40,6 +40,9 @@
 struct ItemOrigin {
   FeedSource source;
   int hops = 0;  // Hosts between this one and the store.
+  // Whether the store was restored from a copy, and the items are those that
+  // changed by it. Changes shortly before the copy was used may be missing.
+  bool is_restored = false;
 };
 
 // The next source to query, and the delay before the request.
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -126,7 +126,8 @@
     return;
   }
   service_ = chosen->service;
-  digest_ = DigestOf(request_.method, request_.target, Body());
+  digest_ = DigestWithin(request_.authority, request_.method, request_.target,
+                         Body());
   context_->RetryBudgetFor(service_).OnSuccess();
   ArmDeadline();
   if (IsTooLateForHost()) {
@@ -263,7 +264,7 @@
 bool Exchange::Admit() {
   if (admitted_) return true;
   const SuspectVerdict verdict =
-      context_->suspects.Admit(service_, digest_, SteadyClock::now());
+      context_->suspects.Admit(digest_, SteadyClock::now());
   admitted_ =
       verdict == SuspectVerdict::kClear || verdict == SuspectVerdict::kIsolate;
   isolated_ = verdict == SuspectVerdict::kIsolate;
@@ -282,7 +283,7 @@
 void Exchange::EndAdmission() {
   if (!admitted_) return;
   admitted_ = false;
-  context_->suspects.OnInconclusiveEnd(service_, digest_);
+  context_->suspects.OnInconclusiveEnd(digest_);
 }
 
 void Exchange::ProbeForCrash(const ServerRecord& server,
@@ -314,7 +315,7 @@
                           {"crashes", static_cast<double>(notice.crashes)}});
       context->share_suspect(notice);
     } else if (was_admitted) {
-      context->suspects.OnInconclusiveEnd(service, digest);
+      context->suspects.OnInconclusiveEnd(digest);
     }
     proceed();
   });
@@ -360,7 +361,7 @@
 }
 
 ExpectedWork Exchange::Work() const {
-  ExpectedWork work = context_->statistics.Expect(*route_);
+  ExpectedWork work = context_->statistics.Expect(*route_, SteadyClock::now());
   if (const auto& prices = context_->settings.zone_overflow) {
     work.crossing = {prices->byte_between_zones / prices->missed_target,
                      prices->byte_between_regions / prices->missed_target};
@@ -567,7 +568,7 @@
   const bool meets_target =
       choice && choice->occupancy != Occupancy::kQueued &&
       Elapsed() + choice->expected + kCallerRoundTrip <= route_->latency_target;
-  if (!meets_target || attempts_.empty()) return;
+  if (!meets_target || attempts_.empty() || !HasAttemptsLeft()) return;
   if (!context_->RetryBudgetFor(service_).TryRetry()) return;
   context_->metrics.Count("sends", "second");
   Send(candidates[choice->index], choice->expected);
@@ -663,9 +664,9 @@
 }
 
 void Exchange::ArmHedge(Duration expected) {
-  if (!route_->idempotent || isolated_ || sends_ >= route_->max_attempts) {
-    return;
-  }
+  // The timer of an earlier attempt must not outlive it.
+  step_timer_.cancel();
+  if (!route_->idempotent || isolated_ || !HasAttemptsLeft()) return;
   step_timer_.expires_after(Scale(expected, kHedgeDelayFactor) +
                             kHedgeDelayMargin);
   step_timer_.async_wait(
@@ -829,13 +830,17 @@
 }
 
 bool Exchange::TryTakeRetry() {
-  return sends_ < route_->max_attempts && TimeLeft() > Duration::zero() &&
+  return HasAttemptsLeft() && TimeLeft() > Duration::zero() &&
          context_->RetryBudgetFor(service_).TryRetry();
 }
 
 void Exchange::Relay(const AttemptPtr& attempt, ServerResponse&& response,
                      bool is_signed) {
-  const Duration service_time = SteadyClock::now() - attempt->sent_at;
+  const TimePoint now = SteadyClock::now();
+  const Duration service_time = now - attempt->sent_at;
+  // A host that stood still does not know when the response arrived.
+  const bool is_timed =
+      now - context_->EarliestArrival(now) <= Work().service_time;
   CallerResponse relayed;
   relayed.status = response.message.result_int();
   for (const auto& field : response.message) {
@@ -853,10 +858,10 @@
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
   }
-  if (IsSuccess(relayed.status)) {
+  if (IsSuccess(relayed.status) && is_timed) {
     context_->statistics.RecordResponse(
         route_->name, service_time - RoundTrip(attempt->distance),
-        attempt->slowdown, attempt->occupancy, relayed.body.size());
+        attempt->slowdown, attempt->occupancy, relayed.body.size(), now);
     context_->metrics.server_time.Observe(service_time);
   }
   context_->metrics.Count("response_bytes_by_distance",
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -205,6 +205,8 @@
   void Relay(const AttemptPtr& attempt, ServerResponse&& response,
              bool is_signed);
 
+  // @return whether the route allows another send
+  bool HasAttemptsLeft() const { return sends_ < route_->max_attempts; }
   // Takes a retry from the service's budget, if attempts and time are left.
   // @return whether the request may be sent again
   bool TryTakeRetry();
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherlatch/relay/store_revision.h"
 #include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/peer_requests.h"
@@ -47,6 +48,16 @@
 // How long after a notice of a crash that no reader received it is sent again.
 constexpr Duration kUnsharedSuspectInterval = std::chrono::seconds(1);
 
+// Interval at which a reader asks the others for suspects: twice within the
+// time after which a host that was away has to act on what the others know.
+constexpr Duration kSuspectQueryInterval = std::chrono::seconds(2);
+
+// Interval at which a host asks the one that it follows for other hosts.
+constexpr Duration kHostsQueryInterval = std::chrono::seconds(1);
+// The hosts to which a notice goes that no reader received. Each of them passes
+// it on once, so that it reaches all hosts that know each other.
+constexpr std::size_t kHostsToTell = 16;
+
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
@@ -70,6 +81,15 @@
   return feed;
 }
 
+std::vector<SuspectNotice> ReadSuspects(const std::string& body) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::vector<SuspectNotice>> {
+        BOOST_LEAF_AUTO(response, DecodeFeedResponse(body));
+        return std::move(response.suspects);
+      },
+      [] { return std::vector<SuspectNotice>(); });
+}
+
 }  // namespace
 
 PublishedFeed::PublishedFeed(TrafficContext* context, OnChanged on_changed)
@@ -78,6 +98,7 @@
       choice_(context->settings.peer_listen, context->settings.seeds,
               context->settings.first_start ? DeploymentStart::kFirst
                                             : DeploymentStart::kRestart),
+      known_hosts_(context->settings.peer_listen),
       timer_(*context->io),
       pending_timer_(*context->io) {}
 
@@ -159,7 +180,16 @@
   FeedRequest query;
   query.requester = context_->settings.peer_listen;
   query.after_revision = items_.revision();
-  if (followed_peer_ == peer) query.wait = kPeerQueryWait;
+  if (followed_peer_ == peer) {
+    query.wait = kPeerQueryWait;
+  } else {
+    // One of the two may have been away when the other learnt of a suspect.
+    query.suspects = suspects_.All(SteadyClock::now());
+    query.wants_all_suspects = true;
+  }
+  const TimePoint now = SteadyClock::now();
+  query.wants_hosts = now - hosts_queried_at_ >= kHostsQueryInterval;
+  if (query.wants_hosts) hosts_queried_at_ = now;
   Call(peer, BuildPeerRequest(peer, query), query.wait + kPeerResponseMargin);
 }
 
@@ -239,26 +269,47 @@
     OnFailure("status " + std::to_string(status), false);
     return {};
   }
-  return from_store ? OnStoreResponse(response.body())
-                    : OnPeerResponse(response.body());
+  return from_store
+             ? OnStoreResponse(wire::ReadStoreEra(response), response.body())
+             : OnPeerResponse(response.body());
 }
 
 void PublishedFeed::OnHistoryExpired() {
-  context_->log.Write("store-history-gone",
-                      {{"revision", static_cast<double>(items_.revision())}});
+  context_->log.Write(
+      "store-history-gone",
+      {{"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
   has_complete_list_ = false;
   RestartList();
   QueryNextSource();
 }
 
-Result<void> PublishedFeed::OnStoreResponse(const std::string& body) {
-  BOOST_LEAF_AUTO(page, wire::ReadStorePage(body));
+bool PublishedFeed::IsOfOtherEra(std::uint64_t era) {
+  const std::uint64_t known = EraOf(items_.revision());
+  if (era < known) {
+    OnFailure("the response is older than a restore of the store", false);
+    return true;
+  }
+  const bool continues_list = !list_after_key_.empty();
+  const std::uint64_t expected =
+      continues_list ? EraOf(partial_list_.revision) : known;
+  if (era == expected || (!has_complete_list_ && !continues_list)) return false;
+  // The changes that this host knows may not be those that the store knows.
+  has_complete_list_ = false;
+  RestartList();
+  QueryNextSource();
+  return true;
+}
+
+Result<void> PublishedFeed::OnStoreResponse(std::uint64_t era,
+                                            const std::string& body) {
+  BOOST_LEAF_AUTO(page, wire::ReadStorePage(body, era));
+  if (IsOfOtherEra(era)) return {};
   RecordUnreadable(page.unreadable);
   const TimePoint made_at = ResponseBeganAt();
   hops_ = 0;
   if (has_complete_list_) {
     relisting_.OnConfirmed(made_at);
-    Merge(ToFeedPage(page, false), hops_);
+    Merge(ToFeedPage(page, false), hops_, made_at);
     SuspendAwareTime held_at = queried_at_;
     if (page.items.empty() && page.unreadable.empty()) {
       // Without a change the store responds when the wait is over.
@@ -289,11 +340,12 @@
   const FeedPage complete_list = std::move(partial_list_);
   RestartList();
   relisting_.OnConfirmed(list_began_at_);
-  Merge(complete_list, hops_);
+  Merge(complete_list, hops_, list_began_at_);
   MarkHeld(list_queried_at_);
   context_->log.Write(
       "listed", {{"items", static_cast<double>(complete_list.items.size())},
-                 {"revision", static_cast<double>(complete_list.revision)}});
+                 {"revision",
+                  static_cast<double>(RevisionInEra(complete_list.revision))}});
   FinishSuccessfulQuery(list_began_at_, made_at - queried_at_.at,
                         Duration::zero());
   return {};
@@ -322,13 +374,18 @@
   if (response.unreadable_items > 0) {
     context_->metrics.Count("peer_items", "unreadable");
   }
-  MergeSuspects(response.suspects);
+  MergeSuspects(response.suspects, false);
+  for (const Endpoint& host : response.hosts) {
+    known_hosts_.Note(host, SteadyClock::now());
+  }
   const TimePoint confirmed_at = ResponseBeganAt() - response.age;
-  const bool is_up_to_date = IsUpToDate(response);
+  const bool is_up_to_date =
+      IsUpToDate(response) &&
+      EraOf(response.page.revision) >= EraOf(items_.revision());
   if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
   if (is_up_to_date) relisting_.OnConfirmed(confirmed_at);
   const bool has_changes = !response.page.items.empty();
-  Merge(response.page, response.hops + 1);
+  Merge(response.page, response.hops + 1, confirmed_at);
   if (!is_up_to_date) {
     followed_peer_.reset();
     OnPeerStale();
@@ -403,24 +460,38 @@
   }
   if (stale_) return;
   stale_ = true;
-  context_->log.Write("store-lost",
-                      {{"source", source},
-                       {"problem", problem},
-                       {"revision", static_cast<double>(items_.revision())}});
+  context_->log.Write(
+      "store-lost",
+      {{"source", source},
+       {"problem", problem},
+       {"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
   RespondToPending(true);
 }
 
 void PublishedFeed::MarkUpToDate() {
   stale_ = false;
-  context_->log.Write("store-regained",
-                      {{"source", ToString(source_)},
-                       {"revision", static_cast<double>(items_.revision())}});
-}
-
-void PublishedFeed::Merge(const FeedPage& page, int hops) {
+  context_->log.Write(
+      "store-regained",
+      {{"source", ToString(source_)},
+       {"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
+}
+
+void PublishedFeed::Merge(const FeedPage& page, int hops,
+                          TimePoint confirmed_at) {
+  const std::uint64_t known = items_.revision();
+  const bool is_restored = known > 0 && EraOf(page.revision) > EraOf(known);
+  if (is_restored) {
+    relisting_.OnRestored(confirmed_at);
+    context_->log.Write(
+        "store-restored",
+        {{"source", ToString(source_)},
+         {"era", static_cast<double>(EraOf(page.revision))},
+         {"revision", static_cast<double>(RevisionInEra(page.revision))},
+         {"known_revision", static_cast<double>(RevisionInEra(known))}});
+  }
   const std::vector<PublishedItem> changed = items_.Merge(page);
   if (changed.empty()) return;
-  on_changed_(changed, {source_, hops});
+  on_changed_(changed, {source_, hops, is_restored});
   RespondToPending(false);
 }
 
@@ -431,11 +502,11 @@
   if (!held_at || TimeBetween(*held_at, at) > Duration::zero()) held_at = at;
 }
 
-FeedResponse PublishedFeed::BuildPeerResponse(std::uint64_t after_revision,
+FeedResponse PublishedFeed::BuildPeerResponse(const FeedRequest& request,
                                               TimePoint received_at) const {
   const TimePoint now = SteadyClock::now();
   FeedResponse response;
-  response.page = items_.ChangesSince(after_revision);
+  response.page = items_.ChangesSince(request.after_revision);
   response.age = std::chrono::duration_cast<milliseconds>(Age(now));
   response.hops = hops_;
   if (const auto& held_at = context_->table_confirmation.held_at) {
@@ -444,7 +515,12 @@
   }
   response.waited = std::chrono::floor<milliseconds>(now - received_at);
   response.store_was_unavailable = relisting_.StoreWasUnavailable(now);
-  response.suspects = suspects_.Recent(now);
+  response.suspects =
+      request.wants_all_suspects ? suspects_.All(now) : suspects_.Recent(now);
+  if (request.wants_hosts) {
+    response.hosts =
+        known_hosts_.Sample(kMaxHostsInResponse, &context_->rng, now);
+  }
   return response;
 }
 
@@ -465,15 +541,16 @@
           return {};
         }
         choice_.OnRequestFrom(query.requester, now);
-        MergeSuspects(query.suspects);
+        known_hosts_.Note(query.requester, now);
+        MergeSuspects(query.suspects, true);
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
                                query.after_revision >= items_.revision();
         if (!must_wait) {
-          respond({kOk, Encode(BuildPeerResponse(query.after_revision, now))});
+          respond({kOk, Encode(BuildPeerResponse(query, now))});
           return {};
         }
-        pending_.push_back(
-            {query.after_revision, now, now + query.wait, respond});
+        const TimePoint deadline = now + query.wait;
+        pending_.push_back({std::move(query), now, deadline, respond});
         if (pending_.size() == 1) ArmPendingTimer();
         return {};
       },
@@ -502,89 +579,140 @@
 void PublishedFeed::ShareSuspect(const SuspectNotice& notice) {
   if (!suspects_.Add(notice, SteadyClock::now())) return;
   RespondToPending(true);
-  TellReaders(notice);
+  TellReaders(notice, [this, notice](bool told) {
+    if (!told) TellKnownHosts(notice);
+    OnReadersTold(notice, told);
+  });
 }
 
-void PublishedFeed::TellReaders(const SuspectNotice& notice) {
+void PublishedFeed::TellReaders(const SuspectNotice& notice,
+                                std::function<void(bool)> done) {
   if (stopped_) return;
-  const Endpoint& self = context_->settings.peer_listen;
-  std::vector<Endpoint> readers = context_->settings.seeds;
-  const auto others_end = std::remove(readers.begin(), readers.end(), self);
+  const std::vector<Endpoint> readers = OtherReaders();
   // Other hosts ask a reader for its notices.
-  const bool is_reader = others_end != readers.end() || readers.empty();
-  readers.erase(others_end, readers.end());
+  const bool is_reader = readers.size() < context_->settings.seeds.size() ||
+                         context_->settings.seeds.empty();
   const auto missing = std::make_shared<std::size_t>(readers.size());
   const auto told = std::make_shared<bool>(is_reader);
   for (const Endpoint& reader : readers) {
-    SendSuspect(reader, notice, [this, notice, missing, told](bool responded) {
-      *told = *told || responded;
-      if (--*missing == 0) OnReadersTold(notice, *told);
-    });
+    FeedRequest request;
+    request.suspects = {notice};
+    CallAboutSuspects(reader, std::move(request),
+                      [this, reader, missing, told, done](bool responded) {
+                        if (!responded) {
+                          context_->log.Write("suspect-not-told",
+                                              {{"reader", ToString(reader)}});
+                        }
+                        *told = *told || responded;
+                        if (--*missing == 0) done(*told);
+                      });
   }
 }
 
 void PublishedFeed::OnReadersTold(const SuspectNotice& notice, bool told) {
   CrashSuspects& suspects = context_->suspects;
   const TimePoint now = SteadyClock::now();
-  const bool was_unshared =
-      suspects.IsUnshared(notice.service, notice.digest, now);
-  suspects.SetShared(notice.service, notice.digest, told);
+  const bool was_unshared = suspects.IsUnshared(notice.digest, now);
+  suspects.SetShared(notice.digest, told);
   if (was_unshared == told) {
     context_->metrics.Count("suspects", told ? "shared" : "unshared");
     context_->log.Write(told ? "suspect-shared" : "suspect-unshared",
                         {{"service", notice.service.str()},
                          {"digest", std::to_string(notice.digest)}});
   }
-  if (!suspects.IsUnshared(notice.service, notice.digest, now)) return;
+  if (!suspects.IsUnshared(notice.digest, now)) return;
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kUnsharedSuspectInterval);
   timer->async_wait(
       [this, notice, timer](const boost::system::error_code& error) {
-        if (error || !context_->suspects.IsUnshared(
-                         notice.service, notice.digest, SteadyClock::now())) {
+        if (error ||
+            !context_->suspects.IsUnshared(notice.digest, SteadyClock::now())) {
           return;
         }
         SuspectNotice later = notice;
         later.age += kUnsharedSuspectInterval;
-        TellReaders(later);
+        TellReaders(later,
+                    [this, later](bool told) { OnReadersTold(later, told); });
       });
 }
 
-void PublishedFeed::SendSuspect(const Endpoint& reader,
-                                const SuspectNotice& notice,
-                                std::function<void(bool)> done) {
-  FeedRequest query;
-  query.requester = context_->settings.peer_listen;
-  query.after_revision = items_.revision();
-  query.suspects = {notice};
-  const auto connection = context_->connections.Open(reader);
+void PublishedFeed::TellKnownHosts(const SuspectNotice& notice) {
+  for (const Endpoint& host :
+       known_hosts_.Sample(kHostsToTell, &context_->rng, SteadyClock::now())) {
+    FeedRequest request;
+    request.suspects = {notice};
+    context_->metrics.Count("suspects", "sent-to-host");
+    CallAboutSuspects(host, std::move(request), [](bool) {});
+  }
+}
+
+std::vector<Endpoint> PublishedFeed::OtherReaders() const {
+  std::vector<Endpoint> readers = context_->settings.seeds;
+  readers.erase(std::remove(readers.begin(), readers.end(),
+                            context_->settings.peer_listen),
+                readers.end());
+  return readers;
+}
+
+void PublishedFeed::QuerySuspects(TimePoint now) {
+  if (stopped_ || !choice_.IsReader() || !has_complete_list_ ||
+      now - suspects_queried_at_ < kSuspectQueryInterval) {
+    return;
+  }
+  suspects_queried_at_ = now;
+  for (const Endpoint& reader : OtherReaders()) {
+    FeedRequest request;
+    request.wants_all_suspects = true;
+    CallAboutSuspects(reader, std::move(request), [](bool) {});
+  }
+}
+
+void PublishedFeed::CallAboutSuspects(const Endpoint& host, FeedRequest request,
+                                      std::function<void(bool)> done) {
+  request.requester = context_->settings.peer_listen;
+  // The response lists no more than the latest changes.
+  request.after_revision = items_.revision();
+  const auto connection = context_->connections.Open(host);
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kPeerResponseMargin);
   const auto ended = std::make_shared<bool>(false);
-  const auto end = [this, reader, ended, done = std::move(done)](bool told) {
-    if (std::exchange(*ended, true)) return;
-    if (!told) {
-      context_->log.Write("suspect-not-told", {{"reader", ToString(reader)}});
-    }
-    done(told);
+  const auto end = [ended, done = std::move(done)](bool responded) {
+    if (!std::exchange(*ended, true)) done(responded);
   };
-  connection->Call({BuildPeerRequest(reader, query)}, ResponseBounds(),
-                   [end](const CallResult& result) {
-                     end(std::holds_alternative<ServerResponse>(result));
-                   });
+  connection->Call(
+      {BuildPeerRequest(host, request)}, ResponseBounds(),
+      [this, end](const CallResult& result) {
+        const auto* response = std::get_if<ServerResponse>(&result);
+        if (response != nullptr) {
+          MergeSuspects(ReadSuspects(response->message.body()), false);
+        }
+        end(response != nullptr);
+      });
   timer->async_wait([connection, timer, end](const boost::system::error_code&) {
     connection->Cancel();
     end(false);
   });
 }
 
-void PublishedFeed::MergeSuspects(const std::vector<SuspectNotice>& notices) {
+void PublishedFeed::MergeSuspects(const std::vector<SuspectNotice>& notices,
+                                  bool is_pushed) {
   const TimePoint now = SteadyClock::now();
   bool any_new = false;
   for (const SuspectNotice& notice : notices) {
     if (!suspects_.Add(notice, now)) continue;
     any_new = true;
     context_->suspects.Merge(notice, now);
+    if (choice_.IsReader()) {
+      // No other reader may know of an older crash: they may have restarted.
+      if (notice.age >= kSuspectNoticeLifetime) {
+        TellReaders(notice, [](bool) {});
+      }
+    } else if (is_pushed) {
+      // The sender may have reached no reader.
+      TellReaders(notice, [this, notice](bool told) {
+        if (!told) TellKnownHosts(notice);
+      });
+    }
     context_->log.Write("suspect-learnt",
                         {{"service", notice.service.str()},
                          {"digest", std::to_string(notice.digest)},
@@ -597,12 +725,12 @@
 void PublishedFeed::RespondToPending(bool all) {
   const TimePoint now = SteadyClock::now();
   for (auto it = pending_.begin(); it != pending_.end();) {
-    if (!all && it->after_revision >= items_.revision() && now < it->deadline) {
+    if (!all && it->request.after_revision >= items_.revision() &&
+        now < it->deadline) {
       ++it;
       continue;
     }
-    it->respond(
-        {kOk, Encode(BuildPeerResponse(it->after_revision, it->received_at))});
+    it->respond({kOk, Encode(BuildPeerResponse(it->request, it->received_at))});
     it = pending_.erase(it);
   }
 }
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -25,6 +25,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherlatch/relay/known_hosts.h"
 #include "heatherlatch/relay/peer_messages.h"
 #include "heatherlatch/relay/published_items.h"
 #include "heatherlatch/relay/relisting_window.h"
@@ -66,6 +67,14 @@
   // Reports a content that crashed a server to other hosts.
   void ShareSuspect(const SuspectNotice& notice);
 
+  // Asks the other readers for the contents that crashed servers, if this host
+  // is a reader: it queries no other host otherwise. To be called about twice a
+  // second; does nothing if the last time was lately.
+  void QuerySuspects(TimePoint now);
+
+  // @return how many other hosts this one knows, besides the readers
+  std::size_t known_hosts() const { return known_hosts_.size(); }
+
   // @return until when a server whose entry is removed now may be listed again;
   //     nothing: the server has left
   std::optional<TimePoint> RelistingEnd(TimePoint now) const {
@@ -75,7 +84,7 @@
  private:
   // A query of another host that waits for a change.
   struct PeerQuery {
-    std::uint64_t after_revision = 0;
+    FeedRequest request;
     TimePoint received_at;
     TimePoint deadline;
     SimpleHttpServer::Respond respond;
@@ -94,7 +103,12 @@
 
   void OnResult(std::size_t call_id, const CallResult& result);
   Result<void> OnResponse(const http::response<http::string_body>& response);
-  Result<void> OnStoreResponse(const std::string& body);
+  // @param era  of the store, as the response states it
+  Result<void> OnStoreResponse(std::uint64_t era, const std::string& body);
+  // Reads the store's list again, if the store was restored from a copy since
+  // the last response.
+  // @return whether the response is of no use
+  bool IsOfOtherEra(std::uint64_t era);
   void RestartList();
   // Logs each unreadable item once, and counts it.
   void RecordUnreadable(const std::vector<wire::UnreadableItem>& items);
@@ -114,19 +128,26 @@
   // @param next          delay until the next query
   void FinishSuccessfulQuery(TimePoint confirmed_at, Duration round_trip,
                              Duration next);
-  // @param hops  hosts between this one and the store
-  void Merge(const FeedPage& page, int hops);
+  // @param hops          hosts between this one and the store
+  // @param confirmed_at  when the store made the page at the latest
+  void Merge(const FeedPage& page, int hops, TimePoint confirmed_at);
   void QueryAfter(Duration delay);
 
-  // Sends a notice to the other readers, again and again while the host is no
-  // reader and none of them responds.
-  void TellReaders(const SuspectNotice& notice);
-  // @param done  called once with whether the reader responded
-  void SendSuspect(const Endpoint& reader, const SuspectNotice& notice,
-                   std::function<void(bool)> done);
+  // Sends a notice to the other readers.
+  // @param done  called once with whether a reader knows of it; not called if
+  //              there is no other reader
+  void TellReaders(const SuspectNotice& notice, std::function<void(bool)> done);
+  // Sends a request about suspects to a host, and takes its notices over.
+  // @param done  called once with whether the host responded
+  void CallAboutSuspects(const Endpoint& host, FeedRequest request,
+                         std::function<void(bool)> done);
+  // Records whether a reader knows of a notice of this host. If none does,
+  // sends it to them again, and again.
   void OnReadersTold(const SuspectNotice& notice, bool told);
-  void MergeSuspects(const std::vector<SuspectNotice>& notices);
-  FeedResponse BuildPeerResponse(std::uint64_t after_revision,
+  void TellKnownHosts(const SuspectNotice& notice);
+  // @param is_pushed  whether a host sent them on its own account
+  void MergeSuspects(const std::vector<SuspectNotice>& notices, bool is_pushed);
+  FeedResponse BuildPeerResponse(const FeedRequest& request,
                                  TimePoint received_at) const;
   // Notes that the store is proven to have held the items that the host knows.
   // @param at  not later than when it held them
@@ -139,6 +160,8 @@
   // @param all  whether to respond to the others too
   void RespondToPending(bool all);
   void ArmPendingTimer();
+  // @return the readers other than this host
+  std::vector<Endpoint> OtherReaders() const;
   // @return the time since the items were last confirmed by the store
   Duration Age(TimePoint now) const;
 
@@ -147,6 +170,9 @@
   SourceChoice choice_;
   PublishedItems items_;
   SharedSuspects suspects_;
+  TimePoint suspects_queried_at_;
+  KnownHosts known_hosts_;
+  TimePoint hosts_queried_at_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer pending_timer_;
   std::list<PeerQuery> pending_;
--- a/heatherlatch/traffic/route_statistics.cc
+++ b/heatherlatch/traffic/route_statistics.cc
@@ -21,6 +21,10 @@
 // estimate the factor.
 constexpr int kMinResponsesForFactor = 8;
 
+// How long after the last response the service time is trusted if it is longer
+// than the usual value.
+constexpr Duration kTrustedAfterResponse = std::chrono::seconds(5);
+
 }  // namespace
 
 void RouteStatistics::MovingMean::Add(double added) {
@@ -31,8 +35,10 @@
 
 void RouteStatistics::RecordResponse(const RouteName& route,
                                      Duration service_time, double slowdown,
-                                     Occupancy occupancy, std::size_t bytes) {
+                                     Occupancy occupancy, std::size_t bytes,
+                                     TimePoint now) {
   RouteMeans& means = means_[route];
+  means.recorded_at = now;
   means.bytes.Add(static_cast<double>(bytes));
   const double milliseconds = ToMilliseconds(service_time) / slowdown;
   if (occupancy == Occupancy::kAvailable) means.milliseconds.Add(milliseconds);
@@ -41,7 +47,8 @@
   }
 }
 
-ExpectedWork RouteStatistics::Expect(const TrafficRoute& route) const {
+ExpectedWork RouteStatistics::Expect(const TrafficRoute& route,
+                                     TimePoint now) const {
   ExpectedWork work;
   work.latency_target = route.latency_target;
   work.nearly_full_factor = kDefaultNearlyFullFactor;
@@ -52,7 +59,9 @@
   const RouteMeans& means = found->second;
   work.response_bytes = means.bytes.value;
   if (means.milliseconds.count > 0) {
-    work.service_time = FromMilliseconds(means.milliseconds.value);
+    const Duration mean = FromMilliseconds(means.milliseconds.value);
+    const bool is_trusted = now - means.recorded_at < kTrustedAfterResponse;
+    work.service_time = is_trusted ? mean : std::min(mean, work.service_time);
   }
   if (std::min(means.milliseconds.count,
                means.nearly_full_milliseconds.count) >=
--- a/heatherlatch/traffic/route_statistics.h
+++ b/heatherlatch/traffic/route_statistics.h
@@ -3,8 +3,8 @@
 //
 // Example:
 //   statistics.RecordResponse(route.name, service_time, slowdown, occupancy,
-//                             body_bytes);
-//   ExpectedWork work = statistics.Expect(route);
+//                             body_bytes, now);
+//   ExpectedWork work = statistics.Expect(route, now);
 //
 // Thread safety: none; the caller serialises access. Reads no clock.
 #ifndef HEATHERLATCH_TRAFFIC_ROUTE_STATISTICS_H_
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <map>
 
+#include "heatherlatch/base/time.h"
 #include "heatherlatch/routing/route_table.h"
 #include "heatherlatch/steering/steering.h"
 
@@ -27,10 +28,13 @@
   //                      a request that waited for a slot is not recorded
   // @param bytes         size of the response body
   void RecordResponse(const RouteName& route, Duration service_time,
-                      double slowdown, Occupancy occupancy, std::size_t bytes);
+                      double slowdown, Occupancy occupancy, std::size_t bytes,
+                      TimePoint now);
   // @return the expected work of a request; before the first response, the
-  //     service time is a share of the route's latency target
-  ExpectedWork Expect(const TrafficRoute& route) const;
+  //     service time is a share of the route's latency target. It is no more
+  //     than that either if no response was recorded lately: a longer time may
+  //     be why no request was sent
+  ExpectedWork Expect(const TrafficRoute& route, TimePoint now) const;
 
  private:
   // An exponentially weighted mean.
@@ -43,6 +47,7 @@
     MovingMean milliseconds;              // On servers with free slots.
     MovingMean nearly_full_milliseconds;  // On servers that are nearly full.
     MovingMean bytes;
+    TimePoint recorded_at;
   };
   std::map<RouteName, RouteMeans> means_;
 };
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "heatherlatch/relay/shared_suspects.h"
 #include "heatherlatch/routing/unrouted_decision.h"
 #include "heatherlatch/traffic/service_queue.h"
 #include "heatherlatch/traffic/suspension.h"
@@ -19,8 +20,9 @@
 constexpr double kRetryShareFactor = 0.8;
 // Retries that a host may send before its requests have added any to its
 // budget. The reserve of a deployment is larger than its number of hosts, which
-// a host cannot determine.
-constexpr double kRetryReserve = 1;
+// a host cannot determine. Restarts must not add to it, so a host that restarts
+// has none.
+constexpr double kRetryReserveOfFirstStart = 1;
 
 // The part of the bound on the probes of a server that hosts use. The rest
 // allows for hosts that do not agree on their shares.
@@ -30,7 +32,7 @@
 // executes several requests, so a content is refused only after a third crash;
 // three is also the specified bound. Callers send such a request again within
 // one minute.
-constexpr Duration kSuspectRetention = std::chrono::minutes(1);
+constexpr Duration kSuspectRetention = kSuspectNoticeRetention;
 constexpr int kCrashesUntilRefused = 3;
 constexpr std::size_t kMaxSuspects = 10'000;
 
@@ -119,7 +121,7 @@
 RetryBudget& TrafficContext::RetryBudgetFor(const ServiceName& service) {
   return retries_
       .try_emplace(service, settings.retry_share * kRetryShareFactor,
-                   kRetryReserve)
+                   settings.first_start ? kRetryReserveOfFirstStart : 0)
       .first->second;
 }
 
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "heatherlatch/relay/store_revision.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/suspension.h"
 #include "platform/store_calls.h"
@@ -43,6 +44,11 @@
 // interval of its permits.
 constexpr Duration kColdStartRetention = std::chrono::seconds(2);
 
+// How long after a restore of the store the operator and the servers may take
+// to write again what the copy lacks. Longer than an entry of a server that has
+// left stays listed.
+constexpr Duration kRestoreGrace = std::chrono::seconds(10);
+
 }  // namespace
 
 TrafficHost::TrafficHost(asio::io_context* io,
@@ -123,6 +129,8 @@
                             static_cast<double>(held.capacity()));
   context_.metrics.SetGauge("waiting_requests",
                             static_cast<double>(context_.WaitingRequests()));
+  context_.metrics.SetGauge("known_hosts",
+                            static_cast<double>(feed_.known_hosts()));
   const OverflowShares shares = context_.overflow.HighestShares();
   context_.metrics.SetGauge("zone_overflow_region_thousandths",
                             shares.region * kThousandths);
@@ -192,9 +200,11 @@
   prober_.CancelOverdueProbes(now);
   context_.connections.CloseIdle(now);
   context_.directory.Expire(now);
+  ReturnZones(now);
   context_.observations.RemoveStale(kObservationRetention, now);
   context_.cold_permits.RemoveStale(kColdStartRetention, now);
   context_.suspects.Expire(now);
+  feed_.QuerySuspects(now);
   budget_client_.RemoveExpired();
   for (auto it = callers_.begin(); it != callers_.end();) {
     const std::shared_ptr<CallerConnection> caller = it->lock();
@@ -245,19 +255,44 @@
     if (!item.is_deleted) ApplyRouteTable(item, origin);
   } else if (const auto* zone =
                  std::get_if<wire::ZoneOutOfServiceKey>(&subject)) {
-    context_.directory.SetZoneInService(zone->zone, item.is_deleted);
-    context_.log.Write(
-        item.is_deleted ? "zone-in-service" : "zone-out-of-service",
-        {{"zone", zone->zone.str()},
-         {"revision", static_cast<double>(item.revision)}});
+    ApplyZone(zone->zone, item, origin, now);
   } else if (const auto* server = std::get_if<wire::ServerKey>(&subject)) {
-    ApplyServer(server->name, item, now);
+    ApplyServer(server->name, item, origin, now);
+  }
+}
+
+void TrafficHost::ApplyZone(const ZoneName& zone, const PublishedItem& item,
+                            const ItemOrigin& origin, TimePoint now) {
+  zones_back_at_.erase(zone);
+  const double revision = static_cast<double>(RevisionInEra(item.revision));
+  if (item.is_deleted && origin.is_restored) {
+    zones_back_at_[zone] = now + kRestoreGrace;
+    context_.log.Write("zone-order-missing",
+                       {{"zone", zone.str()}, {"revision", revision}});
+    return;
+  }
+  context_.directory.SetZoneInService(zone, item.is_deleted);
+  context_.log.Write(
+      item.is_deleted ? "zone-in-service" : "zone-out-of-service",
+      {{"zone", zone.str()}, {"revision", revision}});
+}
+
+void TrafficHost::ReturnZones(TimePoint now) {
+  for (auto it = zones_back_at_.begin(); it != zones_back_at_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    context_.directory.SetZoneInService(it->first, true);
+    context_.log.Write("zone-in-service", {{"zone", it->first.str()}});
+    it = zones_back_at_.erase(it);
   }
 }
 
 void TrafficHost::ApplyServer(const std::string& name,
-                              const PublishedItem& item, TimePoint now) {
-  const double revision = static_cast<double>(item.revision);
+                              const PublishedItem& item,
+                              const ItemOrigin& origin, TimePoint now) {
+  const double revision = static_cast<double>(RevisionInEra(item.revision));
   if (item.is_deleted) {
     const std::optional<TimePoint> until = feed_.RelistingEnd(now);
     if (until) {
@@ -268,14 +303,18 @@
                           {"for_ms", ToMilliseconds(*until - now)}});
       return;
     }
-    context_.directory.Remove(BackendServerName(name));
+    context_.directory.Remove(BackendServerName(name), now);
     context_.log.Write("server-gone",
                        {{"server", name}, {"revision", revision}});
     return;
   }
   const auto record = ReadServer(name, item);
   if (!record) return;
-  context_.directory.Put(*record, now);
+  if (origin.is_restored) {
+    context_.directory.PutFromCopy(*record, now, now + kRestoreGrace);
+  } else {
+    context_.directory.Put(*record, now);
+  }
   context_.log.Write(record->draining ? "server-draining" : "server-listed",
                      {{"server", name}, {"revision", revision}});
 }
@@ -302,11 +341,12 @@
   bool& is_newest = context_.table_confirmation.is_newest;
   const auto refuse = [&](std::string_view problem) {
     is_newest = false;
-    context_.log.Write("configuration-refused",
-                       {{"problem", problem},
-                        {"revision", static_cast<double>(item.revision)},
-                        {"source", ToString(origin.source)},
-                        {"hops", static_cast<double>(origin.hops)}});
+    context_.log.Write(
+        "configuration-refused",
+        {{"problem", problem},
+         {"revision", static_cast<double>(RevisionInEra(item.revision))},
+         {"source", ToString(origin.source)},
+         {"hops", static_cast<double>(origin.hops)}});
   };
   boost::leaf::try_handle_all(
       [&]() -> Result<void> {
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -65,7 +66,11 @@
   void Apply(const PublishedItem& item, const ItemOrigin& origin,
              TimePoint now);
   void ApplyServer(const std::string& name, const PublishedItem& item,
-                   TimePoint now);
+                   const ItemOrigin& origin, TimePoint now);
+  void ApplyZone(const ZoneName& zone, const PublishedItem& item,
+                 const ItemOrigin& origin, TimePoint now);
+  // Puts zones back in service whose order was not written again in time.
+  void ReturnZones(TimePoint now);
   // Logs the organisations of which a part cannot be used.
   void LogOrganisations(const OrganisationDirectory& organisations);
   void ApplyRouteTable(const PublishedItem& item, const ItemOrigin& origin);
@@ -102,6 +107,8 @@
   std::optional<TimePoint> stop_began_;
   bool accept_failed_ = false;
   int maintenance_rounds_ = 0;
+  // Zones out of service whose order is missing in a copy of the store.
+  std::map<ZoneName, TimePoint> zones_back_at_;
   Duration suspended_{};  // Total time that the machine was suspended.
 };
 
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -13,6 +13,8 @@
 namespace heatherlatch {
 namespace {
 
+const TimePoint kNow{std::chrono::seconds(1000)};
+
 using std::chrono::milliseconds;
 
 struct Pipe {
@@ -106,15 +108,34 @@
   TrafficRoute route;
   route.name = RouteName("r");
   route.latency_target = milliseconds(300);
-  CHECK(statistics.Expect(route).service_time > milliseconds(0));
-  CHECK(statistics.Expect(route).service_time < milliseconds(300));
+  CHECK(statistics.Expect(route, kNow).service_time > milliseconds(0));
+  CHECK(statistics.Expect(route, kNow).service_time < milliseconds(300));
   for (int i = 0; i < 200; ++i) {
     statistics.RecordResponse(route.name, milliseconds(700), 7,
-                              Occupancy::kAvailable, 5000);
+                              Occupancy::kAvailable, 5000, kNow);
   }
-  CHECK(ToMilliseconds(statistics.Expect(route).service_time) ==
+  CHECK(ToMilliseconds(statistics.Expect(route, kNow).service_time) ==
         Approx(100).margin(1));
-  CHECK(statistics.Expect(route).response_bytes == Approx(5000));
+  CHECK(statistics.Expect(route, kNow).response_bytes == Approx(5000));
+}
+
+// Guards against a mean that refuses each request, so that nothing corrects it.
+TEST_CASE("a long service time is not trusted without responses") {
+  RouteStatistics statistics;
+  TrafficRoute route;
+  route.name = RouteName("r");
+  route.latency_target = milliseconds(300);
+  const Duration usual = statistics.Expect(route, kNow).service_time;
+  const auto record = [&](Duration time) {
+    statistics.RecordResponse(route.name, time, 1, Occupancy::kAvailable, 0,
+                              kNow);
+    return statistics.Expect(route, kNow + std::chrono::seconds(5))
+        .service_time;
+  };
+  CHECK(record(milliseconds(3000)) == usual);
+  CHECK(statistics.Expect(route, kNow).service_time == milliseconds(3000));
+  statistics = RouteStatistics();
+  CHECK(record(milliseconds(10)) == milliseconds(10));
 }
 
 TEST_CASE("the factor of nearly full servers is estimated from responses") {
@@ -123,14 +144,15 @@
   route.name = RouteName("r");
   for (int i = 0; i < 200; ++i) {
     statistics.RecordResponse(route.name, milliseconds(100), 1,
-                              Occupancy::kAvailable, 0);
+                              Occupancy::kAvailable, 0, kNow);
     statistics.RecordResponse(route.name, milliseconds(170), 1,
-                              Occupancy::kNearlyFull, 0);
+                              Occupancy::kNearlyFull, 0, kNow);
     statistics.RecordResponse(route.name, milliseconds(900), 1,
-                              Occupancy::kQueued, 0);
+                              Occupancy::kQueued, 0, kNow);
   }
-  CHECK(statistics.Expect(route).nearly_full_factor == Approx(1.7));
-  CHECK(ToMilliseconds(statistics.Expect(route).service_time) == Approx(100));
+  CHECK(statistics.Expect(route, kNow).nearly_full_factor == Approx(1.7));
+  CHECK(ToMilliseconds(statistics.Expect(route, kNow).service_time) ==
+        Approx(100));
 }
 TEST_CASE(
     "a bulk route has large expected responses before its first response") {
@@ -138,7 +160,7 @@
   TrafficRoute route;
   route.name = RouteName("r");
   route.bulk = true;
-  CHECK(statistics.Expect(route).response_bytes > 50'000);
+  CHECK(statistics.Expect(route, kNow).response_bytes > 50'000);
 }
 
 TEST_CASE("metrics are written in Prometheus text format") {
