Send no body after the host's own response to HEAD

Cause: only a relayed response knew that its request was HEAD. The responses of the host itself, and those to rejected requests, were written with their body.

Now the pending response of a connection knows the method, and its body is left out whatever it came from. The Content-Length stays, as HTTP allows.

--- a/heatherlatch/traffic/caller_connection.cc
+++ b/heatherlatch/traffic/caller_connection.cc
@@ -278,13 +278,14 @@
 
 void CallerConnection::RejectRequest(const Rejection& rejection) {
   accepts_requests_ = false;
+  auto pending = std::make_shared<PendingResponse>();
+  pending->close_after = true;
+  pending->is_head = parser_->get().method() == http::verb::head;
   // What was read of the request is discarded.
   const auto fields = wire::ReadCallerFields(parser_->release());
   request_.held.Release();
   context_->metrics.Count("requests", "rejected");
   LogRejection(fields.request_id, rejection);
-  auto pending = std::make_shared<PendingResponse>();
-  pending->close_after = true;
   pending->response = CallerResponse{
       rejection.status,
       wire::HostResponseFields(fields.request_id, rejection.retry_after),
@@ -347,6 +348,7 @@
   auto pending = std::make_shared<PendingResponse>();
   pending->close_after = !parser_->keep_alive();
   pending->is_http_1_0 = parser_->get().version() < 11;
+  pending->is_head = parser_->get().method() == http::verb::head;
   accepts_requests_ = !pending->close_after;
   CallerRequest request = TakeRequest();
   request_.first_on_connection = false;
@@ -422,6 +424,7 @@
   }
   outgoing_ +=
       "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
+  if (pending.is_head) return;
   if (response.body.size() < kMinUncopiedBodyBytes) {
     outgoing_ += response.body;
   } else {
--- a/heatherlatch/traffic/caller_connection.h
+++ b/heatherlatch/traffic/caller_connection.h
@@ -73,6 +73,7 @@
     std::optional<CallerResponse> response;
     bool close_after = false;
     bool is_http_1_0 = false;
+    bool is_head = false;  // The method is HEAD: no body follows the response.
   };
 
   // What is known of the request being read.
