Know a crashing content however its host name is written

Found in the review of: a content that had crashed three servers, and was refused, crashed servers again under another spelling of the host name ("ONCE.example", "once.example:80"), three for each spelling.

Cause: since the digest has what the caller addressed in place of the service, and took it as the caller wrote it, though routes match without regard to case and port.

Now it takes the host name of the route. Contents of two routes with the same host name stay apart by their path.

Test: "a crashing content is refused however its host name is written" had 5 crashes where 3 are allowed without the change, and passes with it.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -126,7 +126,9 @@
     return;
   }
   service_ = chosen->service;
-  digest_ = DigestWithin(request_.authority, request_.method, request_.target,
+  // The route's own spelling: callers may write its host name in other cases,
+  // or with a port.
+  digest_ = DigestWithin(route_->authority, request_.method, request_.target,
                          Body());
   context_->RetryBudgetFor(service_).OnSuccess();
   ArmDeadline();
