Pass a notice of a new crashing content on beside many others

Cause: the table of notices was also what says whether a notice is new. It kept 32, those with most crashes, and a notice that did not get in counted as known.

Now a host keeps up to 1,024 notices, and chooses 32 of them when it sends them: the latest it learnt, or for a host that was away those with most crashes. A notice is new if it is not kept, however many others there are up to that bound.

--- a/heatherlatch/relay/shared_suspects.cc
+++ b/heatherlatch/relay/shared_suspects.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace heatherlatch {
 
@@ -23,27 +24,47 @@
     }
   }
   entries_[notice.digest] = {notice.service, notice.crashes, crashed_at, now};
-  if (entries_.size() > kMaxSharedSuspects) DropLeastSuspicious();
+  if (entries_.size() > kMaxKeptSuspects) DropLeastSuspicious();
   return entries_.count(notice.digest) > 0;
 }
 
 std::vector<SuspectNotice> SharedSuspects::Recent(TimePoint now) const {
-  return Select(now, [now](const Entry& entry) {
-    return now - entry.learnt_at < kSuspectNoticeLifetime;
-  });
+  return Select(
+      now,
+      [now](const Entry& entry) {
+        return now - entry.learnt_at < kSuspectNoticeLifetime;
+      },
+      [](const Entry& a, const Entry& b) { return a.learnt_at > b.learnt_at; });
 }
 
 std::vector<SuspectNotice> SharedSuspects::All(TimePoint now) const {
-  return Select(now, [](const Entry&) { return true; });
+  return Select(
+      now, [](const Entry&) { return true; },
+      [](const Entry& a, const Entry& b) {
+        return std::tie(a.crashes, a.crashed_at) >
+               std::tie(b.crashes, b.crashed_at);
+      });
 }
 
 std::vector<SuspectNotice> SharedSuspects::Select(
-    TimePoint now, const std::function<bool(const Entry&)>& is_selected) const {
-  std::vector<SuspectNotice> selected;
+    TimePoint now, const std::function<bool(const Entry&)>& is_selected,
+    const std::function<bool(const Entry&, const Entry&)>& precedes) const {
+  std::vector<std::pair<ContentDigest, const Entry*>> chosen;
   for (const auto& [digest, entry] : entries_) {
     const Duration age = now - entry.crashed_at;
     if (age >= kSuspectNoticeRetention || !is_selected(entry)) continue;
-    selected.push_back({digest, entry.service, entry.crashes, age});
+    chosen.emplace_back(digest, &entry);
+  }
+  std::stable_sort(chosen.begin(), chosen.end(),
+                   [&precedes](const auto& a, const auto& b) {
+                     return precedes(*a.second, *b.second);
+                   });
+  if (chosen.size() > kMaxSharedSuspects) chosen.resize(kMaxSharedSuspects);
+  std::vector<SuspectNotice> selected;
+  selected.reserve(chosen.size());
+  for (const auto& [digest, entry] : chosen) {
+    selected.push_back(
+        {digest, entry->service, entry->crashes, now - entry->crashed_at});
   }
   return selected;
 }
--- a/heatherlatch/relay/shared_suspects.h
+++ b/heatherlatch/relay/shared_suspects.h
@@ -28,10 +28,14 @@
 inline constexpr Duration kSuspectNoticeLifetime = std::chrono::seconds(5);
 // How long after the crash a notice is kept.
 inline constexpr Duration kSuspectNoticeRetention = std::chrono::minutes(1);
-// The most notices that are kept and sent. Keeps them a small part of a
-// response that lists the published items. Of more, the notice with the fewest
-// crashes, and of these the one with the oldest crash, is dropped.
+// The most notices that are sent at once, so that they are a small part of a
+// response that lists the published items.
 inline constexpr std::size_t kMaxSharedSuspects = 32;
+// The most notices that are kept. Many times as many as are sent, so that a new
+// content is recognised as such while many others crash servers. Of more, the
+// notice with the fewest crashes, and of these the one with the oldest crash,
+// is dropped.
+inline constexpr std::size_t kMaxKeptSuspects = 1024;
 
 class SharedSuspects {
  public:
@@ -41,9 +45,11 @@
   // @return whether the notice was stored
   bool Add(const SuspectNotice& notice, TimePoint now);
 
-  // @return the notices learnt lately, with their age
+  // @return the notices learnt lately, with their age; of more than
+  //     kMaxSharedSuspects those learnt last
   std::vector<SuspectNotice> Recent(TimePoint now) const;
-  // @return all notices, with their age
+  // @return all notices, with their age; of more than kMaxSharedSuspects those
+  //     with most crashes
   std::vector<SuspectNotice> All(TimePoint now) const;
 
  private:
@@ -56,9 +62,10 @@
 
   void Prune(TimePoint now);
   void DropLeastSuspicious();
+  // @param precedes  whether one entry is to be sent rather than another
   std::vector<SuspectNotice> Select(
-      TimePoint now,
-      const std::function<bool(const Entry&)>& is_selected) const;
+      TimePoint now, const std::function<bool(const Entry&)>& is_selected,
+      const std::function<bool(const Entry&, const Entry&)>& precedes) const;
 
   std::map<ContentDigest, Entry> entries_;
 };
--- a/heatherlatch/relay/shared_suspects_test.cc
+++ b/heatherlatch/relay/shared_suspects_test.cc
@@ -82,5 +82,31 @@
   CHECK(kept[0].digest == 7);
 }
 
+// Guards against a new content that is told to nobody while many others crash
+// servers.
+TEST_CASE("a new notice is passed on beside many with more crashes") {
+  SharedSuspects shared;
+  for (std::size_t i = 0; i < 2 * kMaxSharedSuspects; ++i) {
+    shared.Add(Notice(100 + i, 3), kStart);
+  }
+  const TimePoint later = kStart + seconds(1);
+  CHECK(shared.Add(Notice(7, 1), later));
+  CHECK_FALSE(shared.Add(Notice(7, 1), later));
+  const auto recent = shared.Recent(later);
+  REQUIRE(recent.size() == kMaxSharedSuspects);
+  CHECK(recent[0].digest == 7);
+}
+
+TEST_CASE("the number of kept notices is bounded") {
+  SharedSuspects shared;
+  shared.Add(Notice(7, 1), kStart);
+  for (std::size_t i = 0; i < kMaxKeptSuspects; ++i) {
+    shared.Add(Notice(100 + i, 2), kStart);
+  }
+  // The one with the fewest crashes was dropped.
+  CHECK(shared.Add(Notice(7, 1), kStart) == false);
+  CHECK(shared.Add(Notice(7, 3), kStart));
+}
+
 }  // namespace
 }  // namespace heatherlatch
