Do not keep hosts that are gone by listing them to each other

Found in the review of: hosts that query each other, such as readers in an outage of the store, kept a host that was gone in their lists for as long as they ran, and sent notices to it. The gauge heatherlatch_known_hosts counted all hosts ever heard of, up to 64.

Cause: a host that another one listed was noted as if it had been heard from at that moment, and was listed in turn. Expired hosts were left out of samples only.

Now a host lists only those that made a request to it lately, and the gauge counts those of the last minute.

--- a/heatherlatch/relay/known_hosts_test.cc
+++ b/heatherlatch/relay/known_hosts_test.cc
@@ -17,7 +17,7 @@
 TEST_CASE("a sample has different hosts, and not this one") {
   std::mt19937_64 rng(7);
   KnownHosts known(Host(1));
-  for (std::size_t i = 1; i <= 10; ++i) known.Note(Host(i), kStart);
+  for (std::size_t i = 1; i <= 10; ++i) known.NoteRequest(Host(i), kStart);
   CHECK(known.Sample(20, &rng, kStart).size() == 9);
   const auto sample = known.Sample(4, &rng, kStart);
   CHECK(std::set<Endpoint>(sample.begin(), sample.end()).size() == 4);
@@ -28,15 +28,42 @@
   std::mt19937_64 rng(7);
   KnownHosts known(Host(1));
   for (std::size_t i = 0; i < 2 * kMaxKnownHosts; ++i) {
-    known.Note(Host(2 + i), kStart + milliseconds(i));
+    known.NoteRequest(Host(2 + i), kStart + milliseconds(i));
   }
-  REQUIRE(known.size() == kMaxKnownHosts);
   const TimePoint last = kStart + milliseconds(2 * kMaxKnownHosts - 1);
+  REQUIRE(known.Count(last) == kMaxKnownHosts);
   const auto kept = known.Sample(kMaxKnownHosts, &rng, last);
   CHECK(std::count(kept.begin(), kept.end(), Host(1 + 2 * kMaxKnownHosts)) ==
         1);
   CHECK(known.Sample(1, &rng, last + kKnownHostLifetime).empty());
 }
 
+// Guards against a gauge of hosts of the last minute that counts all of them.
+TEST_CASE("a host that was not heard of for a minute is not counted") {
+  KnownHosts known(Host(1));
+  known.NoteRequest(Host(2), kStart);
+  known.NoteRequest(Host(3), kStart + kKnownHostLifetime);
+  CHECK(known.Count(kStart + kKnownHostLifetime) == 1);
+}
+
+// Guards against hosts that are gone and that others list to each other.
+TEST_CASE("two hosts do not keep one that is gone alive between them") {
+  std::mt19937_64 rng(7);
+  KnownHosts first(Host(1));
+  KnownHosts second(Host(2));
+  first.NoteRequest(Host(3), kStart);
+  TimePoint now = kStart;
+  for (; now < kStart + 3 * kKnownHostLifetime; now += milliseconds(1000)) {
+    for (const Endpoint& host : first.SampleRequesters(16, &rng, now)) {
+      second.NoteListed(host, now);
+    }
+    for (const Endpoint& host : second.SampleRequesters(16, &rng, now)) {
+      first.NoteListed(host, now);
+    }
+  }
+  CHECK(first.Sample(16, &rng, now).empty());
+  CHECK(second.Sample(16, &rng, now).empty());
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -376,7 +376,7 @@
   }
   MergeSuspects(response.suspects, false);
   for (const Endpoint& host : response.hosts) {
-    known_hosts_.Note(host, SteadyClock::now());
+    known_hosts_.NoteListed(host, SteadyClock::now());
   }
   const TimePoint confirmed_at = ResponseBeganAt() - response.age;
   const bool is_up_to_date =
@@ -519,7 +519,7 @@
       request.wants_all_suspects ? suspects_.All(now) : suspects_.Recent(now);
   if (request.wants_hosts) {
     response.hosts =
-        known_hosts_.Sample(kMaxHostsInResponse, &context_->rng, now);
+        known_hosts_.SampleRequesters(kMaxHostsInResponse, &context_->rng, now);
   }
   return response;
 }
@@ -541,7 +541,7 @@
           return {};
         }
         choice_.OnRequestFrom(query.requester, now);
-        known_hosts_.Note(query.requester, now);
+        known_hosts_.NoteRequest(query.requester, now);
         MergeSuspects(query.suspects, true);
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
                                query.after_revision >= items_.revision();
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -72,8 +72,10 @@
   // second; does nothing if the last time was lately.
   void QuerySuspects(TimePoint now);
 
-  // @return how many other hosts this one knows, besides the readers
-  std::size_t known_hosts() const { return known_hosts_.size(); }
+  // @return how many other hosts this one heard from or of lately
+  std::size_t CountKnownHosts(TimePoint now) const {
+    return known_hosts_.Count(now);
+  }
 
   // @return until when a server whose entry is removed now may be listed again;
   //     nothing: the server has left
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -129,8 +129,9 @@
                             static_cast<double>(held.capacity()));
   context_.metrics.SetGauge("waiting_requests",
                             static_cast<double>(context_.WaitingRequests()));
-  context_.metrics.SetGauge("known_hosts",
-                            static_cast<double>(feed_.known_hosts()));
+  context_.metrics.SetGauge(
+      "known_hosts",
+      static_cast<double>(feed_.CountKnownHosts(SteadyClock::now())));
   const OverflowShares shares = context_.overflow.HighestShares();
   context_.metrics.SetGauge("zone_overflow_region_thousandths",
                             shares.region * kThousandths);
