Tell readers of many crashing contents in one request, and ask for no items

Found in the review of: a host that learnt of many crashing contents at once opened one connection to each reader for each of them, 32 and more within 350 ms; and one that had just started asked each time for the complete list of items, which at the size to design for has 830 servers.

Cause: notices were passed on one by one, and the request stated the revision that the host knew, 0 after a start, to get only the latest changes.

Now what a host learns at once goes in one request to each reader, and the request asks for changes after the last revision that there can be.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/published_feed.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "heatherlatch/relay/store_revision.h"
@@ -58,6 +59,10 @@
 // it on once, so that it reaches all hosts that know each other.
 constexpr std::size_t kHostsToTell = 16;
 
+// Asks for no items: no change is later.
+constexpr std::uint64_t kNoItems =
+    OrderedRevision(kMaxStoreEra, kMaxStoreRevision);
+
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
@@ -579,15 +584,15 @@
 void PublishedFeed::ShareSuspect(const SuspectNotice& notice) {
   if (!suspects_.Add(notice, SteadyClock::now())) return;
   RespondToPending(true);
-  TellReaders(notice, [this, notice](bool told) {
-    if (!told) TellKnownHosts(notice);
+  TellReaders({notice}, [this, notice](bool told) {
+    if (!told) TellKnownHosts({notice});
     OnReadersTold(notice, told);
   });
 }
 
-void PublishedFeed::TellReaders(const SuspectNotice& notice,
+void PublishedFeed::TellReaders(const std::vector<SuspectNotice>& notices,
                                 std::function<void(bool)> done) {
-  if (stopped_) return;
+  if (stopped_ || notices.empty()) return;
   const std::vector<Endpoint> readers = OtherReaders();
   // Other hosts ask a reader for its notices.
   const bool is_reader = readers.size() < context_->settings.seeds.size() ||
@@ -596,7 +601,7 @@
   const auto told = std::make_shared<bool>(is_reader);
   for (const Endpoint& reader : readers) {
     FeedRequest request;
-    request.suspects = {notice};
+    request.suspects = notices;
     CallAboutSuspects(reader, std::move(request),
                       [this, reader, missing, told, done](bool responded) {
                         if (!responded) {
@@ -631,16 +636,16 @@
         }
         SuspectNotice later = notice;
         later.age += kUnsharedSuspectInterval;
-        TellReaders(later,
+        TellReaders({later},
                     [this, later](bool told) { OnReadersTold(later, told); });
       });
 }
 
-void PublishedFeed::TellKnownHosts(const SuspectNotice& notice) {
+void PublishedFeed::TellKnownHosts(const std::vector<SuspectNotice>& notices) {
   for (const Endpoint& host :
        known_hosts_.Sample(kHostsToTell, &context_->rng, SteadyClock::now())) {
     FeedRequest request;
-    request.suspects = {notice};
+    request.suspects = notices;
     context_->metrics.Count("suspects", "sent-to-host");
     CallAboutSuspects(host, std::move(request), [](bool) {});
   }
@@ -670,8 +675,7 @@
 void PublishedFeed::CallAboutSuspects(const Endpoint& host, FeedRequest request,
                                       std::function<void(bool)> done) {
   request.requester = context_->settings.peer_listen;
-  // The response lists no more than the latest changes.
-  request.after_revision = items_.revision();
+  request.after_revision = kNoItems;
   const auto connection = context_->connections.Open(host);
   const auto timer = std::make_shared<boost::asio::steady_timer>(
       *context_->io, kPeerResponseMargin);
@@ -697,29 +701,33 @@
 void PublishedFeed::MergeSuspects(const std::vector<SuspectNotice>& notices,
                                   bool is_pushed) {
   const TimePoint now = SteadyClock::now();
-  bool any_new = false;
+  std::vector<SuspectNotice> added;
   for (const SuspectNotice& notice : notices) {
     if (!suspects_.Add(notice, now)) continue;
-    any_new = true;
+    added.push_back(notice);
     context_->suspects.Merge(notice, now);
-    if (choice_.IsReader()) {
-      // No other reader may know of an older crash: they may have restarted.
-      if (notice.age >= kSuspectNoticeLifetime) {
-        TellReaders(notice, [](bool) {});
-      }
-    } else if (is_pushed) {
-      // The sender may have reached no reader.
-      TellReaders(notice, [this, notice](bool told) {
-        if (!told) TellKnownHosts(notice);
-      });
-    }
     context_->log.Write("suspect-learnt",
                         {{"service", notice.service.str()},
                          {"digest", std::to_string(notice.digest)},
                          {"crashes", static_cast<double>(notice.crashes)},
                          {"age_ms", ToMilliseconds(notice.age)}});
   }
-  if (any_new) RespondToPending(true);
+  if (added.empty()) return;
+  RespondToPending(true);
+  if (choice_.IsReader()) {
+    // No other reader may know of older crashes: they may have restarted.
+    std::vector<SuspectNotice> older;
+    std::copy_if(added.begin(), added.end(), std::back_inserter(older),
+                 [](const SuspectNotice& notice) {
+                   return notice.age >= kSuspectNoticeLifetime;
+                 });
+    TellReaders(older, [](bool) {});
+  } else if (is_pushed) {
+    // The sender may have reached no reader.
+    TellReaders(added, [this, added](bool told) {
+      if (!told) TellKnownHosts(added);
+    });
+  }
 }
 
 void PublishedFeed::RespondToPending(bool all) {
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -135,10 +135,11 @@
   void Merge(const FeedPage& page, int hops, TimePoint confirmed_at);
   void QueryAfter(Duration delay);
 
-  // Sends a notice to the other readers.
-  // @param done  called once with whether a reader knows of it; not called if
+  // Sends notices to the other readers, in one request to each.
+  // @param done  called once with whether a reader knows of them; not called if
   //              there is no other reader
-  void TellReaders(const SuspectNotice& notice, std::function<void(bool)> done);
+  void TellReaders(const std::vector<SuspectNotice>& notices,
+                   std::function<void(bool)> done);
   // Sends a request about suspects to a host, and takes its notices over.
   // @param done  called once with whether the host responded
   void CallAboutSuspects(const Endpoint& host, FeedRequest request,
@@ -146,7 +147,7 @@
   // Records whether a reader knows of a notice of this host. If none does,
   // sends it to them again, and again.
   void OnReadersTold(const SuspectNotice& notice, bool told);
-  void TellKnownHosts(const SuspectNotice& notice);
+  void TellKnownHosts(const std::vector<SuspectNotice>& notices);
   // @param is_pushed  whether a host sent them on its own account
   void MergeSuspects(const std::vector<SuspectNotice>& notices, bool is_pushed);
   FeedResponse BuildPeerResponse(const FeedRequest& request,
