Pass on the notices with most crashes beside the latest

Now one half of what a host sends are the notices with most crashes, the other half the latest of the others.

--- a/heatherlatch/admission/content_digest.h
+++ b/heatherlatch/admission/content_digest.h
@@ -16,8 +16,8 @@
 ContentDigest DigestOf(std::string_view method, std::string_view target,
                        std::string_view body);
 
-// @param scope  what the caller addressed, such as the host name: the same
-//     method, target and body mean another content there
+// @param scope  what the content belongs to, such as the host name of its
+//     route: the same method, target and body mean another content elsewhere
 // @return as `DigestOf`, over scope, method, target and body
 ContentDigest DigestWithin(std::string_view scope, std::string_view method,
                            std::string_view target, std::string_view body);
--- a/heatherlatch/relay/shared_suspects.cc
+++ b/heatherlatch/relay/shared_suspects.cc
@@ -29,36 +29,34 @@
 }
 
 std::vector<SuspectNotice> SharedSuspects::Recent(TimePoint now) const {
-  return Select(
-      now,
-      [now](const Entry& entry) {
-        return now - entry.learnt_at < kSuspectNoticeLifetime;
-      },
-      [](const Entry& a, const Entry& b) { return a.learnt_at > b.learnt_at; });
+  return Select(now, kMaxSharedSuspects / 2, [now](const Entry& entry) {
+    return now - entry.learnt_at < kSuspectNoticeLifetime;
+  });
 }
 
 std::vector<SuspectNotice> SharedSuspects::All(TimePoint now) const {
-  return Select(
-      now, [](const Entry&) { return true; },
-      [](const Entry& a, const Entry& b) {
-        return std::tie(a.crashes, a.crashed_at) >
-               std::tie(b.crashes, b.crashed_at);
-      });
+  return Select(now, kMaxSharedSuspects, [](const Entry&) { return true; });
 }
 
 std::vector<SuspectNotice> SharedSuspects::Select(
-    TimePoint now, const std::function<bool(const Entry&)>& is_selected,
-    const std::function<bool(const Entry&, const Entry&)>& precedes) const {
+    TimePoint now, std::size_t by_crashes,
+    const std::function<bool(const Entry&)>& is_selected) const {
   std::vector<std::pair<ContentDigest, const Entry*>> chosen;
   for (const auto& [digest, entry] : entries_) {
     const Duration age = now - entry.crashed_at;
     if (age >= kSuspectNoticeRetention || !is_selected(entry)) continue;
     chosen.emplace_back(digest, &entry);
   }
-  std::stable_sort(chosen.begin(), chosen.end(),
-                   [&precedes](const auto& a, const auto& b) {
-                     return precedes(*a.second, *b.second);
-                   });
+  const auto others = chosen.begin() + static_cast<std::ptrdiff_t>(
+                                           std::min(by_crashes, chosen.size()));
+  std::partial_sort(chosen.begin(), others, chosen.end(),
+                    [](const auto& a, const auto& b) {
+                      return std::tie(a.second->crashes, a.second->crashed_at) >
+                             std::tie(b.second->crashes, b.second->crashed_at);
+                    });
+  std::sort(others, chosen.end(), [](const auto& a, const auto& b) {
+    return a.second->learnt_at > b.second->learnt_at;
+  });
   if (chosen.size() > kMaxSharedSuspects) chosen.resize(kMaxSharedSuspects);
   std::vector<SuspectNotice> selected;
   selected.reserve(chosen.size());
--- a/heatherlatch/relay/shared_suspects.h
+++ b/heatherlatch/relay/shared_suspects.h
@@ -46,7 +46,8 @@
   bool Add(const SuspectNotice& notice, TimePoint now);
 
   // @return the notices learnt lately, with their age; of more than
-  //     kMaxSharedSuspects those learnt last
+  //     kMaxSharedSuspects one half are those with most crashes, and the other
+  //     half the latest of the others
   std::vector<SuspectNotice> Recent(TimePoint now) const;
   // @return all notices, with their age; of more than kMaxSharedSuspects those
   //     with most crashes
@@ -62,10 +63,12 @@
 
   void Prune(TimePoint now);
   void DropLeastSuspicious();
-  // @param precedes  whether one entry is to be sent rather than another
+  // @param by_crashes  how many notices with most crashes come first; then
+  //                    come those learnt last
+  // @return up to kMaxSharedSuspects notices
   std::vector<SuspectNotice> Select(
-      TimePoint now, const std::function<bool(const Entry&)>& is_selected,
-      const std::function<bool(const Entry&, const Entry&)>& precedes) const;
+      TimePoint now, std::size_t by_crashes,
+      const std::function<bool(const Entry&)>& is_selected) const;
 
   std::map<ContentDigest, Entry> entries_;
 };
