Measure service times on a host that is behind

The expected time stayed at 17.7 ms while 40 requests took 300 ms each (turns of 30 ms), and requests were hedged for it.

Now such a host records what is certain: the measured time less the time by which the response may have been read late, if that is longer than expected.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -128,8 +128,8 @@
   service_ = chosen->service;
   // The route's own spelling: callers may write its host name in other cases,
   // or with a port.
-  digest_ = DigestWithin(route_->authority, request_.method, request_.target,
-                         Body());
+  digest_ =
+      DigestWithin(route_->authority, request_.method, request_.target, Body());
   context_->RetryBudgetFor(service_).OnSuccess();
   ArmDeadline();
   if (IsTooLateForHost()) {
@@ -840,9 +840,8 @@
                      bool is_signed) {
   const TimePoint now = SteadyClock::now();
   const Duration service_time = now - attempt->sent_at;
-  // A host that stood still does not know when the response arrived.
-  const bool is_timed =
-      now - context_->EarliestArrival(now) <= Work().service_time;
+  const std::optional<Duration> certain_time = CertainServiceTime(
+      service_time, now - context_->EarliestArrival(now), Work().service_time);
   CallerResponse relayed;
   relayed.status = response.message.result_int();
   for (const auto& field : response.message) {
@@ -860,11 +859,11 @@
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
   }
-  if (IsSuccess(relayed.status) && is_timed) {
+  if (IsSuccess(relayed.status) && certain_time) {
     context_->statistics.RecordResponse(
-        route_->name, service_time - RoundTrip(attempt->distance),
+        route_->name, *certain_time - RoundTrip(attempt->distance),
         attempt->slowdown, attempt->occupancy, relayed.body.size(), now);
-    context_->metrics.server_time.Observe(service_time);
+    context_->metrics.server_time.Observe(*certain_time);
   }
   context_->metrics.Count("response_bytes_by_distance",
                           ToString(attempt->distance), relayed.body.size());
--- a/heatherlatch/traffic/route_statistics.cc
+++ b/heatherlatch/traffic/route_statistics.cc
@@ -27,6 +27,14 @@
 
 }  // namespace
 
+std::optional<Duration> CertainServiceTime(Duration measured, Duration doubt,
+                                           Duration expected) {
+  if (doubt <= expected) return measured;
+  const Duration certain = measured - doubt;
+  if (certain > expected) return certain;
+  return std::nullopt;
+}
+
 void RouteStatistics::MovingMean::Add(double added) {
   ++count;
   const double weight = std::max(kNewSampleWeight, 1.0 / count);
--- a/heatherlatch/traffic/route_statistics.h
+++ b/heatherlatch/traffic/route_statistics.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 
 #include "heatherlatch/base/time.h"
 #include "heatherlatch/routing/route_table.h"
@@ -19,6 +20,16 @@
 
 namespace heatherlatch {
 
+// How long a response took, as far as a host that stood still can know: it read
+// the response up to `doubt` after its arrival.
+// @param measured  from the send of the request to the reading of the response
+// @param expected  the time that such responses usually take
+// @return the time to record: `measured` where the doubt is no longer than the
+//     expected time; where it is longer, the time that is certain, if that is
+//     longer than expected; nothing otherwise
+std::optional<Duration> CertainServiceTime(Duration measured, Duration doubt,
+                                           Duration expected);
+
 class RouteStatistics {
  public:
   // Records a successful response.
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -120,6 +120,16 @@
 }
 
 // Guards against a mean that refuses each request, so that nothing corrects it.
+TEST_CASE("a service time is recorded as far as it is certain") {
+  using std::chrono::milliseconds;
+  const milliseconds expected(20);
+  CHECK(CertainServiceTime(milliseconds(300), milliseconds(20), expected) ==
+        milliseconds(300));
+  CHECK(CertainServiceTime(milliseconds(300), milliseconds(60), expected) ==
+        milliseconds(240));
+  CHECK_FALSE(CertainServiceTime(milliseconds(75), milliseconds(60), expected));
+}
+
 TEST_CASE("a long service time is not trusted without responses") {
   RouteStatistics statistics;
   TrafficRoute route;
