Remember other hosts for as long as no reader can be reached

Cause: what a host knows of the others is refreshed by readers only, and aged while there were none.

Now it ages until the last list of hosts that was received. The number of hosts stays bounded, and a notice that goes to a host that is gone is lost without further cost.

Test: "hosts still know each other after an hour without a reader"; by reading it holds on no earlier code, where a sample states hosts of the last minute only.

--- a/heatherlatch/relay/known_hosts.cc
+++ b/heatherlatch/relay/known_hosts.cc
@@ -6,10 +6,6 @@
 namespace heatherlatch {
 namespace {
 
-bool IsRecent(TimePoint at, TimePoint now) {
-  return now - at < kKnownHostLifetime;
-}
-
 std::vector<Endpoint> Draw(const std::vector<Endpoint>& hosts,
                            std::size_t count, std::mt19937_64* rng) {
   std::vector<Endpoint> drawn;
@@ -32,6 +28,10 @@
   DropOldest();
 }
 
+bool KnownHosts::IsRecent(TimePoint at, TimePoint now) const {
+  return reader_responded_at_.value_or(now) - at < kKnownHostLifetime;
+}
+
 void KnownHosts::DropOldest() {
   if (hosts_.size() <= kMaxKnownHosts) return;
   hosts_.erase(std::min_element(hosts_.begin(), hosts_.end(),
@@ -63,10 +63,9 @@
 }
 
 std::size_t KnownHosts::Count(TimePoint now) const {
-  return static_cast<std::size_t>(
-      std::count_if(hosts_.begin(), hosts_.end(), [now](const auto& entry) {
-        return IsRecent(entry.second.noted_at, now);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      hosts_.begin(), hosts_.end(),
+      [&](const auto& entry) { return IsRecent(entry.second.noted_at, now); }));
 }
 
 }  // namespace heatherlatch
--- a/heatherlatch/relay/known_hosts.h
+++ b/heatherlatch/relay/known_hosts.h
@@ -4,7 +4,8 @@
 // the others by their requests, and tells each of them some, so that hosts can
 // reach each other while no reader can be reached. Only hosts that made a
 // request here are told to others, so that hosts do not keep one that is gone
-// by telling each other of it.
+// by telling each other of it. While no reader can be reached a host hears of
+// no others, so that those it knows do not age.
 //
 // Example:
 //   known.NoteRequest(requester, now);                  // At a reader.
@@ -41,6 +42,10 @@
   // Records that another host listed the host.
   void NoteListed(const Endpoint& host, TimePoint now);
 
+  // Records that a reader listed hosts. Ages are counted until then from the
+  // first such response on; before it, until `now` of each call.
+  void NoteReaderResponse(TimePoint now) { reader_responded_at_ = now; }
+
   // @return up to `count` different hosts, drawn at random
   std::vector<Endpoint> Sample(std::size_t count, std::mt19937_64* rng,
                                TimePoint now) const;
@@ -61,9 +66,12 @@
 
   // Bounds the number of hosts.
   void DropOldest();
+  // @return whether what was noted at `at` still counts
+  bool IsRecent(TimePoint at, TimePoint now) const;
 
   Endpoint self_;
   std::map<Endpoint, Known> hosts_;
+  std::optional<TimePoint> reader_responded_at_;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/relay/known_hosts_test.cc
+++ b/heatherlatch/relay/known_hosts_test.cc
@@ -46,6 +46,18 @@
   CHECK(known.Count(kStart + kKnownHostLifetime) == 1);
 }
 
+// Guards against a cut that outlasts what hosts know of each other.
+TEST_CASE("hosts still know each other after an hour without a reader") {
+  std::mt19937_64 rng(7);
+  KnownHosts known(Host(1));
+  known.NoteListed(Host(2), kStart);
+  known.NoteReaderResponse(kStart);
+  const TimePoint later = kStart + std::chrono::hours(1);
+  CHECK(known.Sample(1, &rng, later).size() == 1);
+  known.NoteReaderResponse(later);
+  CHECK(known.Sample(1, &rng, later).empty());
+}
+
 // Guards against hosts that are gone and that others list to each other.
 TEST_CASE("two hosts do not keep one that is gone alive between them") {
   std::mt19937_64 rng(7);
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -380,6 +380,9 @@
     context_->metrics.Count("peer_items", "unreadable");
   }
   MergeSuspects(response.suspects, false);
+  if (!response.hosts.empty()) {
+    known_hosts_.NoteReaderResponse(SteadyClock::now());
+  }
   for (const Endpoint& host : response.hosts) {
     known_hosts_.NoteListed(host, SteadyClock::now());
   }
