Let hosts come to rest that pass crash notices on to each other

Cause: with more than 32 contents that crashed servers, a notice that had been dropped counted as new when it came again; a reader then stored it, dropped another and told the other readers, which did the same, until the minute was over.

Now a notice also displaces only one with fewer crashes, so that what is kept does not go round.

Test: "hosts that pass on what is new to them come to rest", for 64 and 2,048 contents at three hosts: without this change it does not end for 2,048.

--- a/heatherlatch/relay/shared_suspects.cc
+++ b/heatherlatch/relay/shared_suspects.cc
@@ -22,10 +22,11 @@
         (known.crashes == notice.crashes && !is_later)) {
       return false;
     }
+  } else if (entries_.size() >= kMaxKeptSuspects && !MakeRoomFor(notice)) {
+    return false;
   }
   entries_[notice.digest] = {notice.service, notice.crashes, crashed_at, now};
-  if (entries_.size() > kMaxKeptSuspects) DropLeastSuspicious();
-  return entries_.count(notice.digest) > 0;
+  return true;
 }
 
 std::vector<SuspectNotice> SharedSuspects::Recent(TimePoint now) const {
@@ -74,12 +75,17 @@
   }
 }
 
-void SharedSuspects::DropLeastSuspicious() {
-  entries_.erase(std::min_element(
+bool SharedSuspects::MakeRoomFor(const SuspectNotice& notice) {
+  const auto least = std::min_element(
       entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
         return std::tie(a.second.crashes, a.second.crashed_at) <
                std::tie(b.second.crashes, b.second.crashed_at);
-      }));
+      });
+  // Not one for another with as many crashes: hosts that tell each other of
+  // both would each time take the other one for new.
+  if (least->second.crashes >= notice.crashes) return false;
+  entries_.erase(least);
+  return true;
 }
 
 }  // namespace heatherlatch
--- a/heatherlatch/relay/shared_suspects.h
+++ b/heatherlatch/relay/shared_suspects.h
@@ -32,9 +32,8 @@
 // response that lists the published items.
 inline constexpr std::size_t kMaxSharedSuspects = 32;
 // The most notices that are kept. Many times as many as are sent, so that a new
-// content is recognised as such while many others crash servers. Of more, the
-// notice with the fewest crashes, and of these the one with the oldest crash,
-// is dropped.
+// content is recognised as such while many others crash servers. Of more, those
+// with the fewest crashes are left out.
 inline constexpr std::size_t kMaxKeptSuspects = 1024;
 
 class SharedSuspects {
@@ -62,7 +61,10 @@
   };
 
   void Prune(TimePoint now);
-  void DropLeastSuspicious();
+  // Drops the notice with the fewest crashes, and of these the one with the
+  // oldest crash, if it counts fewer than `notice`.
+  // @return whether it did
+  bool MakeRoomFor(const SuspectNotice& notice);
   // @param by_crashes  how many notices with most crashes come first; then
   //                    come those learnt last
   // @return up to kMaxSharedSuspects notices
--- a/heatherlatch/relay/shared_suspects_test.cc
+++ b/heatherlatch/relay/shared_suspects_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <utility>
 #include <vector>
 
 namespace heatherlatch {
@@ -124,5 +125,35 @@
   CHECK(shared.Add(Notice(7, 3), kStart));
 }
 
+// Guards against readers that take notices for new again and again, and tell
+// each other of them without end.
+TEST_CASE("hosts that pass on what is new to them come to rest") {
+  constexpr std::size_t kHosts = 3;
+  constexpr milliseconds kOneWay(30);
+  const std::size_t contents =
+      GENERATE(2 * kMaxSharedSuspects, 2 * kMaxKeptSuspects);
+  struct Message {
+    std::size_t to;
+    SuspectNotice notice;
+  };
+  std::vector<SharedSuspects> hosts(kHosts);
+  std::vector<Message> sent;
+  for (std::size_t i = 0; i < contents; ++i) {
+    sent.push_back({0, Notice(i, 1, seconds(6))});
+  }
+  std::size_t count = 0;
+  for (TimePoint now = kStart; !sent.empty(); now += kOneWay) {
+    REQUIRE(now < kStart + seconds(5));
+    for (const auto& [to, notice] : std::exchange(sent, {})) {
+      ++count;
+      if (!hosts[to].Add(notice, now)) continue;
+      for (std::size_t other = 0; other < kHosts; ++other) {
+        if (other != to) sent.push_back({other, notice});
+      }
+    }
+  }
+  CHECK(count <= contents * kHosts * kHosts);
+}
+
 }  // namespace
 }  // namespace heatherlatch
