Share the suspects of one turn of the loop in one request

Now the contents that become suspects in one turn of the event loop go together. The tests of crashing contents pass; no test counts the connections of this path.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/published_feed.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <iterator>
 #include <utility>
 
@@ -587,9 +588,15 @@
 void PublishedFeed::ShareSuspect(const SuspectNotice& notice) {
   if (!suspects_.Add(notice, SteadyClock::now())) return;
   RespondToPending(true);
-  TellReaders({notice}, [this, notice](bool told) {
-    if (!told) TellKnownHosts({notice});
-    OnReadersTold(notice, told);
+  to_share_.push_back(notice);
+  if (to_share_.size() > 1) return;
+  // The contents that run on a server that is lost are suspects at once.
+  boost::asio::post(*context_->io, [this] {
+    const std::vector<SuspectNotice> notices = std::exchange(to_share_, {});
+    TellReaders(notices, [this, notices](bool told) {
+      if (!told) TellKnownHosts(notices);
+      for (const SuspectNotice& shared : notices) OnReadersTold(shared, told);
+    });
   });
 }
 
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -173,6 +173,7 @@
   SourceChoice choice_;
   PublishedItems items_;
   SharedSuspects suspects_;
+  std::vector<SuspectNotice> to_share_;  // With the next turn of the loop.
   TimePoint suspects_queried_at_;
   KnownHosts known_hosts_;
   TimePoint hosts_queried_at_;
