Order the states of a server by the store, not by its clock

Callers' requests went on to a server that drained, if its clock had stepped back before it started again under its name: hosts left out every record with an earlier start than the one they knew, `draining` included.

PublishedItems already hands over the states of each key in the order of the store, whichever host they come through, so the directory takes them as they come. Where a copy of a restored store is told from what was written since, the revision says it: a copy has no revision beyond that of a state that it lacks. By the clock, a copy of an older start with a later clock brought back a server that drains.

`server-listed` states the start by the server's clock.

--- a/heatherlatch/fleet/server_directory.cc
+++ b/heatherlatch/fleet/server_directory.cc
@@ -6,7 +6,6 @@
 
 void ServerDirectory::Put(const ServerRecord& record, TimePoint now) {
   ServerEntry& entry = entries_[record.name];
-  if (record.started_at_ms < entry.record.started_at_ms) return;
   entry.record = record;
   entry.cold_until = now + record.cold_remaining;
   entry.expires_at.reset();
@@ -15,26 +14,25 @@
 
 void ServerDirectory::PutFromCopy(const ServerRecord& record, TimePoint now,
                                   TimePoint left_until) {
-  const auto is_later_start = [&record](std::uint64_t started_at_ms) {
-    return record.started_at_ms > started_at_ms;
+  // A copy has no revision of a server beyond that of a later state.
+  const auto is_written_since = [&record](std::uint64_t revision) {
+    return record.store_revision > revision;
   };
   const auto known = entries_.find(record.name);
   if (known != entries_.end() && known->second.record.draining &&
-      !is_later_start(known->second.record.started_at_ms)) {
+      !is_written_since(known->second.record.store_revision)) {
     return;
   }
   Put(record, now);
   const auto left = left_.find(record.name);
-  if (left != left_.end() && !is_later_start(left->second.started_at_ms)) {
+  if (left != left_.end() && !is_written_since(left->second.store_revision)) {
     entries_[record.name].usable_from = left_until;
   }
 }
 
-void ServerDirectory::Remove(const BackendServerName& name, TimePoint now) {
-  const auto found = entries_.find(name);
-  if (found == entries_.end()) return;
-  left_[name] = {found->second.record.started_at_ms, now};
-  entries_.erase(found);
+void ServerDirectory::Remove(const BackendServerName& name,
+                             std::uint64_t store_revision, TimePoint now) {
+  if (entries_.erase(name) > 0) left_[name] = {store_revision, now};
 }
 
 void ServerDirectory::MarkMissing(const BackendServerName& name,
--- a/heatherlatch/fleet/server_directory.h
+++ b/heatherlatch/fleet/server_directory.h
@@ -29,8 +29,11 @@
   ZoneName zone;
   int slots = 1;
   bool draining = false;
-  // Unix time in milliseconds; orders the starts of servers of one name.
+  // Unix time in milliseconds by the server's clock, which may step back, so
+  // that it orders nothing.
   std::uint64_t started_at_ms = 0;
+  // Of this state, as the store counts it between two of its restores.
+  std::uint64_t store_revision = 0;
   Duration cold_remaining{};  // Rest of the cold start, from `Put` on.
 };
 
@@ -49,18 +52,20 @@
 
 class ServerDirectory {
  public:
-  // Adds or updates a server, and ends its grace period. A record of an earlier
-  // start than the stored one is ignored.
+  // Adds or updates a server, and ends its grace period. The records of one
+  // server are to be put in the order in which the store received them.
   void Put(const ServerRecord& record, TimePoint now);
 
   // Adds or updates a server by what a copy says of it that may be some seconds
   // old. A server that was draining stays so, and one that has left is not
-  // usable before `left_until`, unless it was started again since.
+  // usable before `left_until`, unless the store has a later revision of it.
   void PutFromCopy(const ServerRecord& record, TimePoint now,
                    TimePoint left_until);
 
   // Removes a server without a grace period.
-  void Remove(const BackendServerName& name, TimePoint now);
+  // @param store_revision  of its removal, as that of a record
+  void Remove(const BackendServerName& name, std::uint64_t store_revision,
+              TimePoint now);
 
   // Starts the grace period of a server that is missing from the platform's
   // list: it is removed at `until` unless it is listed again before. Does
@@ -90,7 +95,7 @@
   bool IsUsable(const ServerEntry& entry, TimePoint now) const;
 
   struct LeftServer {
-    std::uint64_t started_at_ms = 0;
+    std::uint64_t store_revision = 0;
     TimePoint removed_at;
   };
 
--- a/heatherlatch/relay/published_items_test.cc
+++ b/heatherlatch/relay/published_items_test.cc
@@ -76,6 +76,37 @@
   CHECK_FALSE(items.ChangesSince(101).is_complete);
 }
 
+// Guards against a late copy of an older state, such as one that comes through
+// another host: nothing else orders the states of an item.
+TEST_CASE("the changes of an item come in the order of the store") {
+  CHECK(rc::check("pages that come in any order", [] {
+    PublishedItems items;
+    std::map<std::string, std::uint64_t> last;
+    const int pages = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < pages; ++i) {
+      FeedPage page;
+      page.is_complete = *rc::gen::inRange(0, 4) == 0;
+      page.revision = OrderedRevision(*rc::gen::inRange<std::uint64_t>(1, 4),
+                                      *rc::gen::inRange<std::uint64_t>(1, 30));
+      for (const char* key : {"a", "b", "c"}) {
+        if (*rc::gen::inRange(0, 2) == 0) continue;
+        const std::uint64_t revision =
+            page.revision - *rc::gen::inRange<std::uint64_t>(0, 30);
+        const bool is_deleted =
+            !page.is_complete && *rc::gen::inRange(0, 3) == 0;
+        page.items.push_back({key, is_deleted ? "" : std::to_string(revision),
+                              revision, is_deleted});
+      }
+      for (const PublishedItem& item : items.Merge(page)) {
+        // A list may lack an item without stating when it was deleted.
+        RC_ASSERT(item.revision > last[item.key] ||
+                  (item.is_deleted && item.revision == last[item.key]));
+        last[item.key] = item.revision;
+      }
+    }
+  }));
+}
+
 // A store with a few keys, and hosts that fetch its changes from the store or
 // from one another in any order. Guards against changes that are lost or
 // reverted on the way: each host must end with the items of the store.
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -303,7 +303,8 @@
                           {"for_ms", ToMilliseconds(*until - now)}});
       return;
     }
-    context_.directory.Remove(BackendServerName(name), now);
+    context_.directory.Remove(BackendServerName(name),
+                              RevisionInEra(item.revision), now);
     context_.log.Write("server-gone",
                        {{"server", name}, {"revision", revision}});
     return;
@@ -315,8 +316,11 @@
   } else {
     context_.directory.Put(*record, now);
   }
-  context_.log.Write(record->draining ? "server-draining" : "server-listed",
-                     {{"server", name}, {"revision", revision}});
+  context_.log.Write(
+      record->draining ? "server-draining" : "server-listed",
+      {{"server", name},
+       {"revision", revision},
+       {"started_at_ms", static_cast<double>(record->started_at_ms)}});
 }
 
 std::optional<ServerRecord> TrafficHost::ReadServer(const std::string& name,
@@ -329,6 +333,7 @@
   return boost::leaf::try_handle_all(
       [&]() -> Result<std::optional<ServerRecord>> {
         BOOST_LEAF_AUTO(record, wire::ReadServerRecord(name, item.value));
+        record.store_revision = RevisionInEra(item.revision);
         return std::optional<ServerRecord>(record);
       },
       [&](const wire::DocumentError& error) { return refuse(error.problem); },
