Confirm another history of the store before following it

A host that read one wrong `Store-Era` in its list followed no store again: it took every other era for older, as did all hosts that followed it, and servers that drained went on to get requests. The same held for a store that was set up anew, with an earlier era or, in the same era, an earlier revision.

Cause: an era was taken over from one response and never given up. Now HistoryConfirmation decides. A later era needs a second response in a row, which costs no more than the list that follows a restore anyway. An earlier era or revision is followed once all responses of three seconds, and three of them, state it; no host rests on an older word of the store by then. The items then start over: they keep their values and lose their order. A host follows another one only into the next era and only if the store confirms it there; else, and if that host stays behind, it asks the store itself. So a paused reader that wakes in an earlier or a wrong era takes nobody with it.

New value `unconfirmed` of heatherlatch_store_calls_total.

--- a/heatherlatch/relay/published_items.cc
+++ b/heatherlatch/relay/published_items.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/relay/published_items.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 #include "heatherlatch/relay/store_revision.h"
@@ -22,7 +23,9 @@
     if (!stored.key.empty() && stored.revision >= item.revision) continue;
     const bool is_same =
         !stored.is_deleted && !item.is_deleted && stored.value == item.value;
-    if (is_same && EraOf(stored.revision) < EraOf(item.revision)) {
+    const bool is_restored =
+        EraOf(stored.revision) < EraOf(item.revision) || stored.revision == 0;
+    if (is_same && is_restored) {
       stored.revision = item.revision;
       continue;
     }
@@ -57,6 +60,16 @@
   }
 }
 
+void PublishedItems::StartOver() {
+  for (auto it = items_.begin(); it != items_.end();) {
+    it->second.revision = 0;
+    it = it->second.is_deleted ? items_.erase(it) : std::next(it);
+  }
+  tombstone_count_ = 0;
+  revision_ = 0;
+  pruned_until_revision_ = 0;
+}
+
 void PublishedItems::DropOldestTombstone() {
   auto oldest = items_.end();
   for (auto it = items_.begin(); it != items_.end(); ++it) {
--- a/heatherlatch/relay/published_items.h
+++ b/heatherlatch/relay/published_items.h
@@ -49,6 +49,10 @@
   // @return the items that changed, in the order of their revisions
   std::vector<PublishedItem> Merge(const FeedPage& page);
 
+  // Takes all items for older than any that is merged from now on, but keeps
+  // them. To be called before the list of a store that was set up anew.
+  void StartOver();
+
   // @return the items that changed after `revision`, or a complete page where
   //     tombstones of deletions since then may have been dropped
   FeedPage ChangesSince(std::uint64_t revision) const;
--- a/heatherlatch/relay/published_items_test.cc
+++ b/heatherlatch/relay/published_items_test.cc
@@ -60,6 +60,21 @@
   CHECK(items.ChangesSince(before).is_complete);
 }
 
+TEST_CASE("of a store that was set up anew, only what differs has changed") {
+  PublishedItems items;
+  items.Merge({true,
+               OrderedRevision(8000, 50),
+               {{"same", "1", OrderedRevision(8000, 40), false},
+                {"lost", "2", OrderedRevision(8000, 50), false}}});
+  items.StartOver();
+  const auto changed =
+      items.Merge({true, 9, {{"same", "1", 8, false}, {"new", "3", 9, false}}});
+  CHECK(Existing(items) == KeyValues{{"same", "1"}, {"new", "3"}});
+  CHECK(changed.size() == 2);
+  CHECK(items.revision() == 9);
+  CHECK(items.ChangesSince(0).is_complete);
+}
+
 TEST_CASE("a host that missed dropped tombstones gets the complete list") {
   PublishedItems items;
   items.Merge({true, 100, {{"a", "1", 50, false}}});
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -262,7 +262,7 @@
   const unsigned status = response.result_int();
   const bool from_store = std::holds_alternative<StoreSource>(source_);
   if (from_store && status == wire::kHistoryExpiredStatus) {
-    OnHistoryExpired();
+    OnHistoryExpired(wire::ReadStoreEra(response));
     return {};
   }
   if (status != kOk) {
@@ -274,36 +274,56 @@
              : OnPeerResponse(response.body());
 }
 
-void PublishedFeed::OnHistoryExpired() {
+void PublishedFeed::OnHistoryExpired(std::uint64_t era) {
+  const std::uint64_t known = items_.revision();
   context_->log.Write(
       "store-history-gone",
-      {{"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
-  has_complete_list_ = false;
-  RestartList();
-  QueryNextSource();
+      {{"revision", static_cast<double>(RevisionInEra(known))}});
+  // It states no revision, so that it tells only of another era.
+  if (era != EraOf(known)) {
+    history_.OnResponse(OrderedRevision(era, RevisionInEra(known)), known,
+                        SteadyClock::now());
+  }
+  ListAgain();
 }
 
-bool PublishedFeed::IsOfOtherEra(std::uint64_t era) {
-  const std::uint64_t known = EraOf(items_.revision());
-  if (era < known) {
-    OnFailure("the response is older than a restore of the store", false);
-    return true;
-  }
-  const bool continues_list = !list_after_key_.empty();
-  const std::uint64_t expected =
-      continues_list ? EraOf(partial_list_.revision) : known;
-  if (era == expected || (!has_complete_list_ && !continues_list)) return false;
-  // The changes that this host knows may not be those that the store knows.
+void PublishedFeed::ListAgain() {
   has_complete_list_ = false;
   RestartList();
   QueryNextSource();
-  return true;
+}
+
+bool PublishedFeed::FollowsHistory(std::uint64_t revision) {
+  if (!list_after_key_.empty()) {
+    if (EraOf(revision) == EraOf(partial_list_.revision)) return true;
+    ListAgain();
+    return false;
+  }
+  switch (
+      history_.OnResponse(revision, items_.revision(), SteadyClock::now())) {
+    case StoreHistory::kKnown:
+      return true;
+    case StoreHistory::kConfirmed:
+      // Changes are of no use without those before.
+      if (!has_complete_list_) return true;
+      ListAgain();
+      return false;
+    case StoreHistory::kQueryAgain:
+      ListAgain();
+      return false;
+    case StoreHistory::kUnconfirmed:
+      break;
+  }
+  context_->metrics.Count("store_calls", "unconfirmed");
+  OnFailure("the response is of a history of the store that is not confirmed",
+            false);
+  return false;
 }
 
 Result<void> PublishedFeed::OnStoreResponse(std::uint64_t era,
                                             const std::string& body) {
   BOOST_LEAF_AUTO(page, wire::ReadStorePage(body, era));
-  if (IsOfOtherEra(era)) return {};
+  if (!FollowsHistory(page.revision)) return {};
   RecordUnreadable(page.unreadable);
   const TimePoint made_at = ResponseBeganAt();
   hops_ = 0;
@@ -379,13 +399,22 @@
     known_hosts_.Note(host, SteadyClock::now());
   }
   const TimePoint confirmed_at = ResponseBeganAt() - response.age;
-  const bool is_up_to_date =
-      IsUpToDate(response) &&
-      EraOf(response.page.revision) >= EraOf(items_.revision());
+  const std::uint64_t known = items_.revision();
+  // A host that the store does not confirm may be in a wrong era.
+  const bool may_follow =
+      MayFollowPeerIntoEra(response.page.revision, known, IsUpToDate(response));
+  const bool is_of_known_era = EraOf(response.page.revision) == EraOf(known);
+  const bool stays_behind =
+      is_of_known_era &&
+      peer_history_.OnResponse(response.page.revision, known,
+                               SteadyClock::now()) == StoreHistory::kConfirmed;
+  const bool is_up_to_date = may_follow && IsUpToDate(response) &&
+                             !stays_behind &&
+                             EraOf(response.page.revision) >= EraOf(known);
   if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
   if (is_up_to_date) relisting_.OnConfirmed(confirmed_at);
   const bool has_changes = !response.page.items.empty();
-  Merge(response.page, response.hops + 1, confirmed_at);
+  if (may_follow) Merge(response.page, response.hops + 1, confirmed_at);
   if (!is_up_to_date) {
     followed_peer_.reset();
     OnPeerStale();
@@ -479,7 +508,12 @@
 void PublishedFeed::Merge(const FeedPage& page, int hops,
                           TimePoint confirmed_at) {
   const std::uint64_t known = items_.revision();
-  const bool is_restored = known > 0 && EraOf(page.revision) > EraOf(known);
+  // The store lists an earlier revision only after `FollowsHistory`.
+  const bool is_set_up_anew =
+      hops == 0 && page.is_complete && page.revision < known;
+  const bool is_restored =
+      is_set_up_anew || (known > 0 && EraOf(page.revision) > EraOf(known));
+  if (is_set_up_anew) items_.StartOver();
   if (is_restored) {
     relisting_.OnRestored(confirmed_at);
     context_->log.Write(
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -31,6 +31,7 @@
 #include "heatherlatch/relay/relisting_window.h"
 #include "heatherlatch/relay/shared_suspects.h"
 #include "heatherlatch/relay/source_choice.h"
+#include "heatherlatch/relay/store_history.h"
 #include "heatherlatch/traffic/client_connection.h"
 #include "heatherlatch/traffic/simple_http_server.h"
 #include "heatherlatch/traffic/traffic_context.h"
@@ -105,15 +106,18 @@
   Result<void> OnResponse(const http::response<http::string_body>& response);
   // @param era  of the store, as the response states it
   Result<void> OnStoreResponse(std::uint64_t era, const std::string& body);
-  // Reads the store's list again, if the store was restored from a copy since
-  // the last response.
-  // @return whether the response is of no use
-  bool IsOfOtherEra(std::uint64_t era);
+  // Decides whether to follow the store, which may have been restored from a
+  // copy or set up anew since the last response. If not, queries a source.
+  // @param revision  of the store, with its era, as the response states it
+  // @return whether the response is of use
+  bool FollowsHistory(std::uint64_t revision);
+  void ListAgain();
   void RestartList();
   // Logs each unreadable item once, and counts it.
   void RecordUnreadable(const std::vector<wire::UnreadableItem>& items);
   Result<void> OnPeerResponse(const std::string& body);
-  void OnHistoryExpired();
+  // @param era  of the store, as the response states it
+  void OnHistoryExpired(std::uint64_t era);
   void OnFailure(const std::string& problem, bool timed_out);
   void OnPeerStale();
   // Records the failure and queries the next source.
@@ -169,6 +173,10 @@
   OnChanged on_changed_;
   SourceChoice choice_;
   PublishedItems items_;
+  HistoryConfirmation history_;
+  // Of the hosts that this one follows: one that stays behind what is known
+  // follows another history.
+  HistoryConfirmation peer_history_;
   SharedSuspects suspects_;
   TimePoint suspects_queried_at_;
   KnownHosts known_hosts_;
