Log the start of a server in whole milliseconds

A number in the log has ten digits, a start in Unix milliseconds thirteen, so that starts less than a second apart read alike. It is a string now, as other long numbers of the log are. Found by the reviewer, by reading.

--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -320,7 +320,7 @@
       record->draining ? "server-draining" : "server-listed",
       {{"server", name},
        {"revision", revision},
-       {"started_at_ms", static_cast<double>(record->started_at_ms)}});
+       {"started_at_ms", std::to_string(record->started_at_ms)}});
 }
 
 std::optional<ServerRecord> TrafficHost::ReadServer(const std::string& name,
