Tell hosts that start without a reader of crashing contents

Cause: a host is configured with the readers only, and learns of the others and of their notices from a reader. A notice goes to other hosts once, when it is new. So a host that starts later, without readers, hears of nothing; each such start cost a server.

Now a host that is no reader and follows no host exchanges all its notices with 16 of the hosts that it knows, every two seconds, as readers do among themselves. A host that starts keeps its address, so those that knew it reach it, and by their request it knows them. Without notices nothing is sent.

Ruled out: to hold back every content at such a host until it was told, which refuses requests that crash nothing.

Not covered: a host that nobody knew, and one that starts when all others that knew of the content have ended too.

Test: "hosts that start without a reader run a crashing content few times". "hosts tell each other of a crashing content", "a restarted host refuses a content that crashed servers before" and the three tests of crashes of platform_host_test pass.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -655,11 +655,15 @@
 }
 
 void PublishedFeed::QuerySuspects(TimePoint now) {
-  if (stopped_ || !choice_.IsReader() || !has_complete_list_ ||
+  if (stopped_ || !has_complete_list_ ||
       now - suspects_queried_at_ < kSuspectQueryInterval) {
     return;
   }
   suspects_queried_at_ = now;
+  if (!choice_.IsReader()) {
+    if (!followed_peer_) ExchangeWithKnownHosts(now);
+    return;
+  }
   for (const Endpoint& reader : OtherReaders()) {
     FeedRequest request;
     request.wants_all_suspects = true;
@@ -667,6 +671,19 @@
   }
 }
 
+void PublishedFeed::ExchangeWithKnownHosts(TimePoint now) {
+  const std::vector<SuspectNotice> notices = suspects_.All(now);
+  if (notices.empty()) return;
+  for (const Endpoint& host :
+       known_hosts_.Sample(kHostsToTell, &context_->rng, now)) {
+    FeedRequest request;
+    request.suspects = notices;
+    request.wants_all_suspects = true;
+    context_->metrics.Count("suspects", "exchanged-with-host");
+    CallAboutSuspects(host, std::move(request), [](bool) {});
+  }
+}
+
 void PublishedFeed::CallAboutSuspects(const Endpoint& host, FeedRequest request,
                                       std::function<void(bool)> done) {
   request.requester = context_->settings.peer_listen;
