--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -59,6 +59,9 @@
 // The hosts to which a notice goes that no reader received. Each of them passes
 // it on once, so that it reaches all hosts that know each other.
 constexpr std::size_t kHostsToTell = 16;
+// The hosts with which one that follows no host exchanges its notices at each
+// interval. The answers bring notices too, so that few suffice.
+constexpr std::size_t kHostsToExchangeWith = 2;
 
 // Asks for no items: no change is later.
 constexpr std::uint64_t kNoItems =
@@ -704,11 +707,15 @@
 }
 
 void PublishedFeed::QuerySuspects(TimePoint now) {
-  if (stopped_ || !choice_.IsReader() || !has_complete_list_ ||
+  if (stopped_ || !has_complete_list_ ||
       now - suspects_queried_at_ < kSuspectQueryInterval) {
     return;
   }
   suspects_queried_at_ = now;
+  if (!choice_.IsReader()) {
+    if (!followed_peer_) ExchangeWithKnownHosts(now);
+    return;
+  }
   for (const Endpoint& reader : OtherReaders()) {
     FeedRequest request;
     request.wants_all_suspects = true;
@@ -716,6 +723,19 @@
   }
 }
 
+void PublishedFeed::ExchangeWithKnownHosts(TimePoint now) {
+  const std::vector<SuspectNotice> notices = suspects_.All(now);
+  if (notices.empty()) return;
+  for (const Endpoint& host :
+       known_hosts_.Sample(kHostsToExchangeWith, &context_->rng, now)) {
+    FeedRequest request;
+    request.suspects = notices;
+    request.wants_all_suspects = true;
+    context_->metrics.Count("suspects", "exchanged-with-host");
+    CallAboutSuspects(host, std::move(request), [](bool) {});
+  }
+}
+
 void PublishedFeed::CallAboutSuspects(const Endpoint& host, FeedRequest request,
                                       std::function<void(bool)> done) {
   request.requester = context_->settings.peer_listen;
