--- a/heatherlatch/relay/known_hosts.cc
+++ b/heatherlatch/relay/known_hosts.cc
@@ -55,7 +55,7 @@
                                                    TimePoint now) const {
   std::vector<Endpoint> current;
   for (const auto& [host, known] : hosts_) {
-    if (known.requested_at && IsRecent(*known.requested_at, now)) {
+    if (known.requested_at && now - *known.requested_at < kKnownHostLifetime) {
       current.push_back(host);
     }
   }
--- a/heatherlatch/relay/known_hosts.h
+++ b/heatherlatch/relay/known_hosts.h
@@ -42,8 +42,9 @@
   // Records that another host listed the host.
   void NoteListed(const Endpoint& host, TimePoint now);
 
-  // Records that a reader listed hosts. Ages are counted until then from the
-  // first such response on; before it, until `now` of each call.
+  // Records that a reader listed hosts. From the first time on, the ages of
+  // hosts count until the last time, and not until now; those of requests count
+  // until now in any case.
   void NoteReaderResponse(TimePoint now) { reader_responded_at_ = now; }
 
   // @return up to `count` different hosts, drawn at random
--- a/heatherlatch/relay/known_hosts_test.cc
+++ b/heatherlatch/relay/known_hosts_test.cc
@@ -58,6 +58,17 @@
   CHECK(known.Sample(1, &rng, later).empty());
 }
 
+// Guards against a reader that lists hosts that are gone, since it followed
+// another host once.
+TEST_CASE("a host that made no request lately is not told to others") {
+  std::mt19937_64 rng(7);
+  KnownHosts known(Host(1));
+  known.NoteReaderResponse(kStart);
+  known.NoteRequest(Host(2), kStart + std::chrono::minutes(10));
+  CHECK(
+      known.SampleRequesters(1, &rng, kStart + std::chrono::hours(2)).empty());
+}
+
 // Guards against hosts that are gone and that others list to each other.
 TEST_CASE("two hosts do not keep one that is gone alive between them") {
   std::mt19937_64 rng(7);
