Send notices again to three hosts in place of sixteen

Now it sends them to three hosts, one way; each host is told about three times a round on average, however many hosts there are, and those that were told tell others. A host that is replaced at another address is not reached; one that restarts is.

The bytes that it sends were not measured.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -57,6 +57,9 @@
 // The hosts to which a notice goes that no reader received. Each of them passes
 // it on once, so that it reaches all hosts that know each other.
 constexpr std::size_t kHostsToTell = 16;
+// The hosts to which all notices go in each interval while no reader passes
+// them on: as many reach a host on average, however many hosts there are.
+constexpr std::size_t kHostsToTellAgain = 3;
 
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
@@ -661,7 +664,7 @@
   }
   suspects_queried_at_ = now;
   if (!choice_.IsReader()) {
-    if (!followed_peer_) ExchangeWithKnownHosts(now);
+    if (!followed_peer_) TellNoticesAgain(now);
     return;
   }
   for (const Endpoint& reader : OtherReaders()) {
@@ -671,15 +674,14 @@
   }
 }
 
-void PublishedFeed::ExchangeWithKnownHosts(TimePoint now) {
+void PublishedFeed::TellNoticesAgain(TimePoint now) {
   const std::vector<SuspectNotice> notices = suspects_.All(now);
   if (notices.empty()) return;
   for (const Endpoint& host :
-       known_hosts_.Sample(kHostsToTell, &context_->rng, now)) {
+       known_hosts_.Sample(kHostsToTellAgain, &context_->rng, now)) {
     FeedRequest request;
     request.suspects = notices;
-    request.wants_all_suspects = true;
-    context_->metrics.Count("suspects", "exchanged-with-host");
+    context_->metrics.Count("suspects", "sent-again");
     CallAboutSuspects(host, std::move(request), [](bool) {});
   }
 }
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -69,7 +69,7 @@
 
   // Asks the other readers for the contents that crashed servers, if this host
   // is a reader: it queries no other host otherwise. Another host that follows
-  // no host exchanges its notices with hosts that it knows, for those that
+  // no host sends its notices to hosts that it knows, for those that
   // started since and know no host. To be called about twice a second; does
   // nothing if the last time was lately.
   void QuerySuspects(TimePoint now);
@@ -147,7 +147,7 @@
   // sends it to them again, and again.
   void OnReadersTold(const SuspectNotice& notice, bool told);
   void TellKnownHosts(const SuspectNotice& notice);
-  void ExchangeWithKnownHosts(TimePoint now);
+  void TellNoticesAgain(TimePoint now);
   // @param is_pushed  whether a host sent them on its own account
   void MergeSuspects(const std::vector<SuspectNotice>& notices, bool is_pushed);
   FeedResponse BuildPeerResponse(const FeedRequest& request,
