--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -59,9 +59,9 @@
 // The hosts to which a notice goes that no reader received. Each of them passes
 // it on once, so that it reaches all hosts that know each other.
 constexpr std::size_t kHostsToTell = 16;
-// The hosts with which one that follows no host exchanges its notices at each
-// interval. The answers bring notices too, so that few suffice.
-constexpr std::size_t kHostsToExchangeWith = 2;
+// The hosts to which all notices go in each interval while no reader passes
+// them on: as many reach a host on average, however many hosts there are.
+constexpr std::size_t kHostsToTellAgain = 3;
 
 // Asks for no items: no change is later.
 constexpr std::uint64_t kNoItems =
@@ -713,7 +713,7 @@
   }
   suspects_queried_at_ = now;
   if (!choice_.IsReader()) {
-    if (!followed_peer_) ExchangeWithKnownHosts(now);
+    if (!followed_peer_) TellNoticesAgain(now);
     return;
   }
   for (const Endpoint& reader : OtherReaders()) {
@@ -723,15 +723,14 @@
   }
 }
 
-void PublishedFeed::ExchangeWithKnownHosts(TimePoint now) {
+void PublishedFeed::TellNoticesAgain(TimePoint now) {
   const std::vector<SuspectNotice> notices = suspects_.All(now);
   if (notices.empty()) return;
   for (const Endpoint& host :
-       known_hosts_.Sample(kHostsToExchangeWith, &context_->rng, now)) {
+       known_hosts_.Sample(kHostsToTellAgain, &context_->rng, now)) {
     FeedRequest request;
     request.suspects = notices;
-    request.wants_all_suspects = true;
-    context_->metrics.Count("suspects", "exchanged-with-host");
+    context_->metrics.Count("suspects", "sent-again");
     CallAboutSuspects(host, std::move(request), [](bool) {});
   }
 }
