Use a server again that drained before the store was set up anew

Found in the review of: a server that drained, and started again in a store that was set up anew or restored, got no request until its entry changed again. On the later clock of its start let it back.

Cause: a host left a copy's record of a draining server out without a bound, and takes records for the copy's by their revision, which such a store counts from a low number.

--- a/heatherlatch/fleet/server_directory.cc
+++ b/heatherlatch/fleet/server_directory.cc
@@ -19,13 +19,16 @@
     return record.store_revision > revision;
   };
   const auto known = entries_.find(record.name);
-  if (known != entries_.end() && known->second.record.draining &&
-      !is_written_since(known->second.record.store_revision)) {
-    return;
-  }
-  Put(record, now);
+  const bool was_leaving =
+      known != entries_.end() &&
+      (known->second.record.draining || now < known->second.usable_from);
+  const bool is_older_than_known =
+      was_leaving && !is_written_since(known->second.record.store_revision);
   const auto left = left_.find(record.name);
-  if (left != left_.end() && !is_written_since(left->second.store_revision)) {
+  const bool is_older_than_removal =
+      left != left_.end() && !is_written_since(left->second.store_revision);
+  Put(record, now);
+  if (is_older_than_known || is_older_than_removal) {
     entries_[record.name].usable_from = left_until;
   }
 }
--- a/heatherlatch/fleet/server_directory.h
+++ b/heatherlatch/fleet/server_directory.h
@@ -57,8 +57,9 @@
   void Put(const ServerRecord& record, TimePoint now);
 
   // Adds or updates a server by what a copy says of it that may be some seconds
-  // old. A server that was draining stays so, and one that has left is not
-  // usable before `left_until`, unless the store has a later revision of it.
+  // old. A server that was draining or has left is not usable before
+  // `left_until`, unless the store has a later revision of it. What servers
+  // wrote after the copy was made is written again by then.
   void PutFromCopy(const ServerRecord& record, TimePoint now,
                    TimePoint left_until);
 
