--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -766,9 +766,9 @@
   const TimePoint now = SteadyClock::now();
   std::vector<SuspectNotice> added;
   for (const SuspectNotice& notice : notices) {
-    context_->suspects.Merge(notice, now);
     if (!suspects_.Add(notice, now)) continue;
     added.push_back(notice);
+    context_->suspects.Merge(notice, now);
     context_->log.Write("suspect-learnt",
                         {{"service", notice.service.str()},
                          {"digest", std::to_string(notice.digest)},
