Take the round trip off before a service time is judged

By the review of: on a host that is behind, the time of a distant server was compared with its round trip in it, which was taken off afterwards, so that times below zero could be recorded. By reading; no test has a distant server on a host that is behind.

--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -839,9 +839,10 @@
 void Exchange::Relay(const AttemptPtr& attempt, ServerResponse&& response,
                      bool is_signed) {
   const TimePoint now = SteadyClock::now();
-  const Duration service_time = now - attempt->sent_at;
-  const std::optional<Duration> certain_time = CertainServiceTime(
-      service_time, now - context_->EarliestArrival(now), Work().service_time);
+  const Duration round_trip = RoundTrip(attempt->distance);
+  const std::optional<Duration> service_time = CertainServiceTime(
+      now - attempt->sent_at - round_trip, now - context_->EarliestArrival(now),
+      Work().service_time);
   CallerResponse relayed;
   relayed.status = response.message.result_int();
   for (const auto& field : response.message) {
@@ -859,11 +860,11 @@
     relayed.head_content_length =
         std::string(response.message[http::field::content_length]);
   }
-  if (IsSuccess(relayed.status) && certain_time) {
-    context_->statistics.RecordResponse(
-        route_->name, *certain_time - RoundTrip(attempt->distance),
-        attempt->slowdown, attempt->occupancy, relayed.body.size(), now);
-    context_->metrics.server_time.Observe(*certain_time);
+  if (IsSuccess(relayed.status) && service_time) {
+    context_->statistics.RecordResponse(route_->name, *service_time,
+                                        attempt->slowdown, attempt->occupancy,
+                                        relayed.body.size(), now);
+    context_->metrics.server_time.Observe(*service_time + round_trip);
   }
   context_->metrics.Count("response_bytes_by_distance",
                           ToString(attempt->distance), relayed.body.size());
--- a/heatherlatch/traffic/route_statistics.h
+++ b/heatherlatch/traffic/route_statistics.h
@@ -22,7 +22,8 @@
 
 // How long a response took, as far as a host that stood still can know: it read
 // the response up to `doubt` after its arrival.
-// @param measured  from the send of the request to the reading of the response
+// @param measured  from the send of the request to the reading of the response,
+//                  without the round trip
 // @param expected  the time that such responses usually take
 // @return the time to record: `measured` where the doubt is no longer than the
 //     expected time; where it is longer, the time that is certain, if that is
--- a/heatherlatch/traffic/traffic_test.cc
+++ b/heatherlatch/traffic/traffic_test.cc
@@ -119,7 +119,6 @@
   CHECK(statistics.Expect(route, kNow).response_bytes == Approx(5000));
 }
 
-// Guards against a mean that refuses each request, so that nothing corrects it.
 TEST_CASE("a service time is recorded as far as it is certain") {
   using std::chrono::milliseconds;
   const milliseconds expected(20);
@@ -130,6 +129,7 @@
   CHECK_FALSE(CertainServiceTime(milliseconds(75), milliseconds(60), expected));
 }
 
+// Guards against a mean that refuses each request, so that nothing corrects it.
 TEST_CASE("a long service time is not trusted without responses") {
   RouteStatistics statistics;
   TrafficRoute route;
