--- a/cmake/HeatherlatchTargets.cmake
+++ b/cmake/HeatherlatchTargets.cmake
@@ -24,20 +24,28 @@
                                            ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-# heatherlatch_test(NAME SOURCES ... DEPS ...)
+# heatherlatch_test(NAME SOURCES ... DEPS ... [SLOW_TAGS ...])
 # Declares the only Catch2 test program of a library and registers it with
 # CTest, without the test cases that KNOWN-RED.txt lists (scripts/check-known-red).
+# The test cases with one of the SLOW_TAGS run as a CTest test of their own, at
+# the same time as the others.
 function(heatherlatch_test name)
   if(HEATHERLATCH_HOST_ONLY)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS;SLOW_TAGS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_options(${name} PRIVATE -Wall -Wextra)
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} heatherlatch_test_main
                                         rapidcheck)
-  add_test(NAME ${name} COMMAND ${name} "~[known-red]")
+  set(other_tests "~[known-red]")
+  foreach(tag ${ARG_SLOW_TAGS})
+    add_test(NAME ${name}_${tag} COMMAND ${name} "~[known-red][${tag}]")
+    set_tests_properties(${name}_${tag} PROPERTIES TIMEOUT 300)
+    string(APPEND other_tests "~[${tag}]")
+  endforeach()
+  add_test(NAME ${name} COMMAND ${name} "${other_tests}")
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
