Leave a quiet time out of the rate of sends

Callers of a host that had been idle got 503 (queue-full) in a burst, 3 to 8 ms after their requests arrived, with four seconds left to serve them.

Cause: with eight sends or more the rate is taken over the last two seconds, also if nothing came before the burst. Eight sends in 8 ms counted as four a second, so that the turn of the fourth waiting request was expected after its deadline.

Change: the rate covers the time since requests came again after a break of half a second. A break in which requests wait still counts, since then the servers are slow.

--- a/heatherlatch/queueing/service_pace.cc
+++ b/heatherlatch/queueing/service_pace.cc
@@ -17,17 +17,21 @@
 constexpr Duration kMinWaiting = std::chrono::milliseconds(250);
 constexpr Duration kMaxWaiting = std::chrono::seconds(4);
 
-// After a longer break, requests begin to wait anew.
+// After a longer break, requests begin to be sent, or to wait, anew.
 constexpr Duration kMaxBreak = std::chrono::milliseconds(500);
 
+// @return the seconds of the window, or those since `since` if these are fewer
+double SecondsOfWindow(TimePoint since, TimePoint now) {
+  return std::max(ToMilliseconds(std::min(kWindow, now - since)), 1.0) / 1000;
+}
+
 // A full record may cover less than the window.
 template <typename Record, typename TimeOf>
 double CoveredSeconds(const std::deque<Record>& records, TimePoint now,
                       const TimeOf& time_of) {
-  const Duration span = records.size() == kMaxKept
-                            ? std::min(kWindow, now - time_of(records.front()))
-                            : kWindow;
-  return std::max(ToMilliseconds(span), 1.0) / 1000;
+  const TimePoint since =
+      records.size() == kMaxKept ? time_of(records.front()) : now - kWindow;
+  return SecondsOfWindow(since, now);
 }
 
 std::size_t CountSince(const std::deque<TimePoint>& times, TimePoint since) {
@@ -38,6 +42,7 @@
 }  // namespace
 
 void ServicePace::OnSent(TimePoint now) {
+  EndQuietTime(now);
   sent_at_.push_back(now);
   if (sent_at_.size() > kMaxKept) sent_at_.pop_front();
 }
@@ -50,6 +55,7 @@
 }
 
 void ServicePace::OnWaiting(TimePoint now) {
+  EndQuietTime(now);
   if (!waiting_since_ || (none_waits_ && now - last_waiting_at_ > kMaxBreak)) {
     waiting_since_ = now;
   }
@@ -57,11 +63,21 @@
   last_waiting_at_ = now;
 }
 
+void ServicePace::EndQuietTime(TimePoint now) {
+  const TimePoint last = sent_at_.empty()
+                             ? last_waiting_at_
+                             : std::max(sent_at_.back(), last_waiting_at_);
+  // Without a send while requests wait, it is the servers that are slow.
+  if (none_waits_ && now - last > kMaxBreak) busy_since_ = now;
+}
+
 std::optional<double> ServicePace::SendsPerSecond(TimePoint now) const {
   const std::size_t count = CountSince(sent_at_, now - kWindow);
   if (count >= kMinSends) {
-    const auto time_of = [](TimePoint at) { return at; };
-    return static_cast<double>(count) / CoveredSeconds(sent_at_, now, time_of);
+    const TimePoint kept_since =
+        sent_at_.size() == kMaxKept ? sent_at_.front() : now - kWindow;
+    return static_cast<double>(count) /
+           SecondsOfWindow(std::max(kept_since, busy_since_), now);
   }
   if (none_waits_ || now - *waiting_since_ < kMinWaiting) {
     return std::nullopt;
--- a/heatherlatch/queueing/service_pace.h
+++ b/heatherlatch/queueing/service_pace.h
@@ -4,7 +4,7 @@
 // Handles hosts that each serve few requests of a service: a rate that needs
 // many sends to be known is learned only after most of the wait is over, so the
 // rate is also taken from how few sends there were since requests began to
-// wait.
+// wait. A quiet time tells nothing of the servers and is left out of the rate.
 //
 // Example:
 //   pace.OnArrival(rank, now);
@@ -51,6 +51,9 @@
   // @return the arrivals that were counted, of those more urgent than `rank`
   double ArrivalsCounted(std::optional<int> rank, TimePoint now) const;
 
+  // Records that there is a request to send.
+  void EndQuietTime(TimePoint now);
+
   struct Arrival {
     TimePoint at;
     int rank;
@@ -59,6 +62,8 @@
   // The last sends and arrivals, oldest first.
   std::deque<TimePoint> sent_at_;
   std::deque<Arrival> arrivals_;
+  // Since when there are requests, apart from short breaks.
+  TimePoint busy_since_ = TimePoint::min();
   // Since when requests wait, apart from short breaks.
   std::optional<TimePoint> waiting_since_;
   TimePoint last_waiting_at_;
--- a/heatherlatch/queueing/waiting_queue_test.cc
+++ b/heatherlatch/queueing/waiting_queue_test.cc
@@ -145,6 +145,25 @@
   CHECK(queue.TakeOverdue(kNow + milliseconds(500)).size() >= 24);
 }
 
+// Guards against a rate that counts the quiet time before a burst.
+TEST_CASE("the first requests of a burst are not refused for a quiet time") {
+  const bool wait_first = GENERATE(false, true);
+  CAPTURE(wait_first);
+  WaitingQueue queue;
+  queue.OnSent(kNow - milliseconds(1900));
+  const auto send = [&] {
+    for (int i = 0; i < 7; ++i) queue.OnSent(kNow);
+  };
+  if (!wait_first) send();
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    queue.Add(Request(id, 0, 100, 900), kNow);
+  }
+  if (wait_first) send();
+  CHECK(queue.TakeOverdue(kNow + milliseconds(3)).empty());
+  // None was sent since, so that the turn of the last ones comes too late.
+  CHECK_FALSE(queue.TakeOverdue(kNow + milliseconds(700)).empty());
+}
+
 TEST_CASE("a late request is refused if those to come take all the room") {
   for (const int arrivals_per_second : {0, 100}) {
     WaitingQueue queue;
