Remember servers that were missing when a copy comes back

Callers' requests reached servers that had left: a server that was removed within the grace period after a restore (server-missing) was used again after the next restore, for as long as the copy listed it.

Cause: the directory remembers the servers that left, with the revision at which they did, to tell an entry of a copy from a later one. MarkMissing and Expire left no such memory, only Remove did.

Change: MarkMissing keeps the revision of the removal, Expire remembers the server, and an entry that is missing counts as one that was leaving.

--- a/heatherlatch/fleet/server_directory.cc
+++ b/heatherlatch/fleet/server_directory.cc
@@ -21,7 +21,8 @@
   const auto known = entries_.find(record.name);
   const bool was_leaving =
       known != entries_.end() &&
-      (known->second.record.draining || now < known->second.usable_from);
+      (known->second.record.draining || known->second.expires_at ||
+       now < known->second.usable_from);
   const bool is_older_than_known =
       was_leaving && !is_written_since(known->second.record.store_revision);
   const auto left = left_.find(record.name);
@@ -39,16 +40,23 @@
 }
 
 void ServerDirectory::MarkMissing(const BackendServerName& name,
+                                  std::uint64_t store_revision,
                                   TimePoint until) {
   const auto found = entries_.find(name);
   if (found == entries_.end() || found->second.expires_at) return;
+  found->second.record.store_revision = store_revision;
   found->second.expires_at = until;
 }
 
 void ServerDirectory::Expire(TimePoint now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const std::optional<TimePoint>& until = it->second.expires_at;
-    it = until && *until <= now ? entries_.erase(it) : std::next(it);
+    if (!until || now < *until) {
+      ++it;
+      continue;
+    }
+    left_[it->first] = {it->second.record.store_revision, now};
+    it = entries_.erase(it);
   }
   for (auto it = left_.begin(); it != left_.end();) {
     it = now - it->second.removed_at >= kLeftServerRetention ? left_.erase(it)
--- a/heatherlatch/fleet/server_directory.h
+++ b/heatherlatch/fleet/server_directory.h
@@ -57,9 +57,9 @@
   void Put(const ServerRecord& record, TimePoint now);
 
   // Adds or updates a server by what a copy says of it that may be some seconds
-  // old. A server that was draining or has left is not usable before
-  // `left_until`, unless the store has a later revision of it. What servers
-  // wrote after the copy was made is written again by then.
+  // old. A server that was draining, was missing or has left is not usable
+  // before `left_until`, unless the store has a later revision of it. What
+  // servers wrote after the copy was made is written again by then.
   void PutFromCopy(const ServerRecord& record, TimePoint now,
                    TimePoint left_until);
 
@@ -71,7 +71,9 @@
   // Starts the grace period of a server that is missing from the platform's
   // list: it is removed at `until` unless it is listed again before. Does
   // nothing for an unknown server, or one that is already marked.
-  void MarkMissing(const BackendServerName& name, TimePoint until);
+  // @param store_revision  of its removal from the list
+  void MarkMissing(const BackendServerName& name, std::uint64_t store_revision,
+                   TimePoint until);
 
   // Removes the servers whose grace period has ended, and forgets those that
   // left long ago.
--- a/heatherlatch/fleet/server_directory_test.cc
+++ b/heatherlatch/fleet/server_directory_test.cc
@@ -75,6 +75,24 @@
   }
 }
 
+// Guards against servers that left within the grace period of a restore and
+// were used again after the next one.
+TEST_CASE("a copy brings back no server that was missing") {
+  const TimePoint left_until = kStart + seconds(12);
+  ServerRecord record = MakeRecord();
+  record.store_revision = 6;
+  ServerDirectory directory;
+  directory.Put(record, kStart);
+  directory.MarkMissing(kServer, 7, kStart + seconds(2));
+  SECTION("before its grace period ends") {}
+  SECTION("after its grace period has ended") {
+    directory.Expire(kStart + seconds(2));
+  }
+  directory.PutFromCopy(record, kStart + seconds(2), left_until);
+  CHECK(directory.FindUsable(kServer, kStart + seconds(2)) == nullptr);
+  CHECK(directory.FindUsable(kServer, left_until) != nullptr);
+}
+
 TEST_CASE("servers of a zone out of service are not usable until it is back",
           "[promise-03]") {
   ServerDirectory directory;
@@ -89,12 +107,12 @@
     "a missing server is usable for its grace period or until listed again") {
   ServerDirectory directory;
   directory.Put(MakeRecord(), kStart);
-  directory.MarkMissing(kServer, kStart + seconds(2));
+  directory.MarkMissing(kServer, 7, kStart + seconds(2));
   CHECK(directory.FindUsable(kServer, kStart + milliseconds(1999)) != nullptr);
   CHECK(directory.FindUsable(kServer, kStart + seconds(2)) == nullptr);
   directory.Put(MakeRecord(), kStart + seconds(1));
   CHECK(directory.FindUsable(kServer, kStart + seconds(3)) != nullptr);
-  directory.MarkMissing(kServer, kStart + seconds(5));
+  directory.MarkMissing(kServer, 7, kStart + seconds(5));
   directory.Expire(kStart + seconds(5));
   CHECK(directory.size() == 0);
 }
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -297,7 +297,8 @@
   if (item.is_deleted) {
     const std::optional<TimePoint> until = feed_.RelistingEnd(now);
     if (until) {
-      context_.directory.MarkMissing(BackendServerName(name), *until);
+      context_.directory.MarkMissing(BackendServerName(name),
+                                     RevisionInEra(item.revision), *until);
       context_.log.Write("server-missing",
                          {{"server", name},
                           {"revision", revision},
