Give started programs no sockets of the test

What was seen: hosts noticed the restore of a store up to 1.7 s late ("no complete response within the timeout"), though the test's store had closed the connections of the calls that waited.

Cause: a program that a test starts kept all sockets that the test had open. A connection that the test closes then stays open for the host that it leads to, as long as that other program runs; a port that the test gives up stays taken. A host that was killed and started again in the soak of a restored store held 81 sockets, one that was started at its begin 24.

Change: started programs get the standard streams only.

--- a/tests/harness/child_process.cc
+++ b/tests/harness/child_process.cc
@@ -28,6 +28,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A connection that the test closes would stay open as long as the program
+  // holds its socket too.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int failed =
       posix_spawn(&pid_, argv.front(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
