Do not query the sender of a notice for items

In an outage of the store, or while no reader can be reached, hosts spent several times the processor time as soon as a content had crashed a server: they queried each other for items without end.

Cause: since hosts tell each other of crashing contents, the requests that do so count their sender as a possible source. Without a source each host queried each such sender four times a second, over a new connection, with all notices in the request and in the response, and was by that a source for the sender.

Now a request that asks for no items makes no source of its sender.

--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -16,6 +16,7 @@
 #include "heatherlatch/base/time.h"
 #include "heatherlatch/fleet_budget/budget_desk.h"
 #include "heatherlatch/relay/published_items.h"
+#include "heatherlatch/relay/store_revision.h"
 
 namespace heatherlatch {
 
@@ -34,6 +35,11 @@
 // The most hosts that a response lists; those beyond are left out.
 inline constexpr std::size_t kMaxHostsInResponse = 16;
 
+// In place of a revision in a request that asks for no items: no change is
+// later.
+inline constexpr std::uint64_t kNoItems =
+    OrderedRevision(kMaxStoreEra, kMaxStoreRevision);
+
 struct FeedRequest {
   Endpoint requester;  // Where the requesting host can be queried in turn.
   std::uint64_t after_revision = 0;     // Only later changes are requested.
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -63,10 +63,6 @@
 // them on: as many reach a host on average, however many hosts there are.
 constexpr std::size_t kHostsToTellAgain = 3;
 
-// Asks for no items: no change is later.
-constexpr std::uint64_t kNoItems =
-    OrderedRevision(kMaxStoreEra, kMaxStoreRevision);
-
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
@@ -586,7 +582,10 @@
           respond({kOk, Encode(response)});
           return {};
         }
-        choice_.OnRequestFrom(query.requester, now);
+        // The sender of a notice may know no source either.
+        if (query.after_revision != kNoItems) {
+          choice_.OnRequestFrom(query.requester, now);
+        }
         known_hosts_.NoteRequest(query.requester, now);
         MergeSuspects(query.suspects, true);
         const bool must_wait = query.wait > milliseconds(0) && !stale_ &&
