Log how old the statement on a cold start is that a send rests on

The line "placed" says whether a permit was used, and how long before the host received the server's last statement on its cold start. That tells requests on their way from those that rest on an old statement.

--- a/heatherlatch/fleet/server_observations.cc
+++ b/heatherlatch/fleet/server_observations.cc
@@ -91,6 +91,15 @@
          now >= observation->cold_until;
 }
 
+std::optional<Duration> ServerObservations::ColdStatementAge(
+    const BackendServerName& server, TimePoint now) const {
+  const Observation* observation = Find(server);
+  if (observation == nullptr || !observation->cold_state_read_at) {
+    return std::nullopt;
+  }
+  return now - *observation->cold_state_read_at;
+}
+
 void ServerObservations::RemoveStale(Duration age, TimePoint now) {
   for (auto it = observations_.begin(); it != observations_.end();) {
     it = now - it->second.last_observed_at > age ? observations_.erase(it)
--- a/heatherlatch/fleet/server_observations.h
+++ b/heatherlatch/fleet/server_observations.h
@@ -53,6 +53,11 @@
   // @return whether the server stated lately that it is in no cold start
   bool IsKnownToBeWarm(const BackendServerName& server, TimePoint now) const;
 
+  // @return the age of the server's last statement on its cold start, from when
+  //     it was received; nothing without one
+  std::optional<Duration> ColdStatementAge(const BackendServerName& server,
+                                           TimePoint now) const;
+
   // Removes the servers without an observation for longer than `age`.
   void RemoveStale(Duration age, TimePoint now);
 
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -592,6 +592,8 @@
   token_used_ = true;
   const TimePoint now = SteadyClock::now();
   const ServerRecord& server = candidate.server;
+  const std::optional<Duration> cold_age =
+      context_->observations.ColdStatementAge(server.name, now);
   auto attempt = std::make_shared<Attempt>();
   attempt->server = server;
   attempt->sent_at = now;
@@ -629,6 +631,8 @@
                        ? static_cast<double>(candidate.reading->running)
                        : -1},
        {"slowness", candidate.reading ? candidate.reading->slowdown : -1},
+       {"cold", LogValue(candidate.cold)},
+       {"cold_stated_before_ms", cold_age ? ToMilliseconds(*cold_age) : -1.0},
        {"queued", static_cast<double>(queue().size())},
        {"member", context_->settings.server_subset
                       ? LogValue(candidate.in_subset)
