Do not use a server that turned cold while a request searched

Callers saw nothing; servers got requests without a permit after the host knew of their cold start. A search that takes the reading of another request's probe, or offers what it found to waiting requests, kept its candidates as not cold although a later probe of the host had told otherwise.

RefreshCandidates now marks such candidates, so that they need a permit.

--- a/heatherlatch/traffic/server_search.cc
+++ b/heatherlatch/traffic/server_search.cc
@@ -414,6 +414,9 @@
   for (Candidate& candidate : *candidates) {
     candidate.sent_since_reading =
         context.observations.SentSinceReading(candidate.server.name);
+    // Another request's probe may have told so.
+    candidate.cold = candidate.cold ||
+                     context.observations.IsCold(candidate.server.name, now);
   }
   // Servers that were removed or turned cold, and zones taken out of service,
   // meanwhile.
