Keep permits apart from requests on their way to a server turned cold

Callers saw nothing; a server that turned cold got permitted requests in the same second as those that were on their way. With servers 15 ms away that made up to 21 in a second, 15.5 allowed: 17 on their way or without knowledge, and 4 with a permit.

Cause: a reader had no permit for one interval after it first heard of a server, 0.4 s with three readers. And it still knew a server that turned cold again within two seconds, so that all readers had a permit at once.

Change: for a server that turned cold, the first permit follows one second after the reader first hears of it, so that both kinds do not fall within one second. A statement of the server that it is in no cold start ends the old one. Servers that start cold get permits as before: no request can be on its way to them.

--- a/heatherlatch/admission/cold_start_permits.cc
+++ b/heatherlatch/admission/cold_start_permits.cc
@@ -12,15 +12,18 @@
 }  // namespace
 
 bool ColdStartPermits::TryIssue(const BackendServerName& server,
-                                double per_second, PermitRequester requester,
-                                TimePoint now) {
+                                double per_second, ColdStartCause cause,
+                                PermitRequester requester, TimePoint now) {
   if (per_second <= 0) return false;
-  Issue& issue = issues_.try_emplace(server, Issue{now}).first->second;
+  const TimePoint not_before =
+      cause == ColdStartCause::kTurnedCold ? now + kRequestsOnTheirWay : now;
+  Issue& issue =
+      issues_.try_emplace(server, Issue{now, not_before}).first->second;
   const bool is_turn_of_others =
       issue.other_denied_at && now - *issue.other_denied_at < kTurnOfOthers;
   const bool is_for_other = requester == PermitRequester::kOtherHost;
   issue.interval = FromMilliseconds(1000 / per_second);
-  if (now - issue.last_at < issue.interval ||
+  if (now < issue.not_before || now - issue.last_at < issue.interval ||
       (is_turn_of_others && !is_for_other)) {
     if (is_for_other) issue.other_denied_at = now;
     return false;
--- a/heatherlatch/admission/cold_start_permits.h
+++ b/heatherlatch/admission/cold_start_permits.h
@@ -7,11 +7,13 @@
 // bound holds by counting: within one second, at most one request for each
 // reader arrives, and the rate times one second and the lifetime of a permit.
 // A reader has no permit to issue when it first hears of a server, so that
-// restarts add none, and that few are added to the requests of hosts that have
-// not learnt yet that a server turned cold.
+// restarts add none. If the server turned cold while it was in use, hosts that
+// have not learnt it send requests for about a round trip more. Then the first
+// permit follows after `kRequestsOnTheirWay`, so that these requests and
+// permits do not add up within one second.
 //
 // Example:
-//   permits.TryIssue(server, rate / readers, requester, now);  // At a reader.
+//   permits.TryIssue(server, rate / readers, cause, requester, now);
 //   permits.Receive(server, asked_at);              // At the host that asked.
 //   if (permits.Has(server, now)) permits.Use(server);
 //
@@ -32,6 +34,16 @@
 inline constexpr Duration kColdStartPermitLifetime =
     std::chrono::milliseconds(400);
 
+// How long a reader issues no permit for a server that turned cold: the time
+// within which the users' rules count.
+inline constexpr Duration kRequestsOnTheirWay = std::chrono::seconds(1);
+
+// How a cold start began.
+enum class ColdStartCause {
+  kStarted,  // With the server, which no host has used before.
+  kTurnedCold,
+};
+
 // Who asks a reader for a permit.
 enum class PermitRequester { kSelf, kOtherHost };
 
@@ -40,9 +52,16 @@
   // Issues a permit for one request, as a reader. Its own requests and those of
   // other hosts take turns.
   // @param per_second  this reader's part of the server's rate
+  // @param cause       is read at the first call for a cold start
   // @return whether the rate, and the turn, allow it
   bool TryIssue(const BackendServerName& server, double per_second,
-                PermitRequester requester, TimePoint now);
+                ColdStartCause cause, PermitRequester requester, TimePoint now);
+  // Notes that the server stated that it is in no cold start.
+  // @return whether permits were issued, or asked for, since the last such
+  //     statement
+  bool EndColdStart(const BackendServerName& server) {
+    return issues_.erase(server) > 0;
+  }
 
   // Stores a permit that was issued to this host.
   // @param asked_at  when this host asked for it
@@ -59,6 +78,7 @@
  private:
   struct Issue {
     TimePoint last_at;  // When the last permit was issued, or first asked for.
+    TimePoint not_before;
     Duration interval{};  // Between two permits.
     // When another host asked in vain, unless one got a permit since.
     std::optional<TimePoint> other_denied_at;
--- a/heatherlatch/admission/cold_start_permits_test.cc
+++ b/heatherlatch/admission/cold_start_permits_test.cc
@@ -18,12 +18,13 @@
 TimePoint At(int ms) { return kStart + milliseconds(ms); }
 
 bool IssueTo(ColdStartPermits* permits, double per_second, TimePoint now) {
-  return permits->TryIssue(kServer, per_second, PermitRequester::kOtherHost,
-                           now);
+  return permits->TryIssue(kServer, per_second, ColdStartCause::kStarted,
+                           PermitRequester::kOtherHost, now);
 }
 
 bool IssueToSelf(ColdStartPermits* permits, TimePoint now) {
-  return permits->TryIssue(kServer, 2, PermitRequester::kSelf, now);
+  return permits->TryIssue(kServer, 2, ColdStartCause::kStarted,
+                           PermitRequester::kSelf, now);
 }
 
 TEST_CASE("a reader issues permits at its part of the rate") {
@@ -34,6 +35,7 @@
   CHECK_FALSE(IssueTo(&permits, 2, At(999)));
   CHECK(IssueTo(&permits, 2, At(1000)));
   CHECK_FALSE(permits.TryIssue(BackendServerName("i-2"), 2,
+                               ColdStartCause::kStarted,
                                PermitRequester::kOtherHost, At(1000)));
   CHECK_FALSE(IssueTo(&permits, 0, At(60'000)));
 }
@@ -64,6 +66,25 @@
   CHECK_FALSE(permits.Has(kServer, At(100) + kColdStartPermitLifetime));
 }
 
+TEST_CASE("permits do not add to requests on their way to a server turned cold",
+          "[promise-02]") {
+  ColdStartPermits permits;
+  const auto issue = [&](int ms) {
+    return permits.TryIssue(kServer, 5, ColdStartCause::kTurnedCold,
+                            PermitRequester::kOtherHost, At(ms));
+  };
+  CHECK_FALSE(permits.EndColdStart(kServer));
+  CHECK_FALSE(issue(0));
+  CHECK_FALSE(issue(999));
+  CHECK(issue(1000));
+  CHECK(issue(1200));
+  // Another cold start soon after.
+  CHECK(permits.EndColdStart(kServer));
+  CHECK_FALSE(issue(1400));
+  CHECK_FALSE(issue(2399));
+  CHECK(issue(2400));
+}
+
 TEST_CASE("servers without permits for a time are forgotten") {
   ColdStartPermits permits;
   CHECK_FALSE(IssueTo(&permits, 1, At(0)));
@@ -96,8 +117,10 @@
       }
       const auto requester = *rc::gen::element(PermitRequester::kSelf,
                                                PermitRequester::kOtherHost);
-      const bool issued =
-          readers[asked].TryIssue(kServer, rate / kReaders, requester, At(ms));
+      const auto cause = *rc::gen::element(ColdStartCause::kStarted,
+                                           ColdStartCause::kTurnedCold);
+      const bool issued = readers[asked].TryIssue(kServer, rate / kReaders,
+                                                  cause, requester, At(ms));
       if (!issued) continue;
       const auto used_after = *rc::gen::inRange<std::int64_t>(
           0, std::chrono::duration_cast<milliseconds>(kColdStartPermitLifetime)
--- a/heatherlatch/fleet/server_directory_test.cc
+++ b/heatherlatch/fleet/server_directory_test.cc
@@ -157,6 +157,7 @@
 TEST_CASE("a server is known to be warm only while its own word is recent") {
   ServerObservations observations;
   CHECK_FALSE(observations.IsKnownToBeWarm(kServer, kStart));
+  CHECK_FALSE(observations.WasWarm(kServer));
   CHECK_FALSE(observations.ColdStatementAge(kServer, kStart));
   // A response to a request tells the load, and nothing of a cold start.
   observations.OnReading(kServer, LoadReading{0, 0, 3, 1}, kStart);
@@ -167,6 +168,7 @@
       kServer, kStart + kWarmStateMaxAge + milliseconds(1)));
   observations.OnColdRemaining(kServer, milliseconds(100), kStart);
   CHECK_FALSE(observations.IsKnownToBeWarm(kServer, kStart));
+  CHECK(observations.WasWarm(kServer));
   CHECK(observations.ColdStatementAge(kServer, kStart + milliseconds(5)) ==
         milliseconds(5));
 }
--- a/heatherlatch/fleet/server_observations.cc
+++ b/heatherlatch/fleet/server_observations.cc
@@ -24,6 +24,7 @@
   Observation& observation = Touch(server, now);
   observation.cold_until = now + remaining;
   observation.cold_state_read_at = now;
+  observation.was_warm |= remaining <= Duration::zero();
 }
 
 void ServerObservations::OnProbeDuration(const BackendServerName& server,
@@ -91,6 +92,11 @@
          now >= observation->cold_until;
 }
 
+bool ServerObservations::WasWarm(const BackendServerName& server) const {
+  const Observation* observation = Find(server);
+  return observation != nullptr && observation->was_warm;
+}
+
 std::optional<Duration> ServerObservations::ColdStatementAge(
     const BackendServerName& server, TimePoint now) const {
   const Observation* observation = Find(server);
--- a/heatherlatch/fleet/server_observations.h
+++ b/heatherlatch/fleet/server_observations.h
@@ -53,6 +53,8 @@
   // @return whether the server stated lately that it is in no cold start
   bool IsKnownToBeWarm(const BackendServerName& server, TimePoint now) const;
 
+  // @return whether the server ever stated that it is in no cold start
+  bool WasWarm(const BackendServerName& server) const;
   // @return the age of the server's last statement on its cold start, from when
   //     it was received; nothing without one
   std::optional<Duration> ColdStatementAge(const BackendServerName& server,
@@ -67,6 +69,7 @@
     std::optional<TimePoint> read_at;
     std::optional<TimePoint> failed_at;
     TimePoint cold_until;
+    bool was_warm = false;
     std::optional<TimePoint> cold_state_read_at;
     std::optional<Duration> probe_duration;
     int sent_since_reading = 0;
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -92,6 +92,10 @@
   if (fields.load) context_->RecordReading(probe.server, *fields.load, now);
   context_->observations.OnColdRemaining(name, fields.cold_remaining, now);
   reply.cold = fields.cold_remaining > Duration::zero();
+  if (!reply.cold && context_->cold_permits.EndColdStart(name)) {
+    context_->metrics.Count("cold_permits", "cold-start-ended");
+    context_->log.Write("cold-start-ended", {{"server", name.str()}});
+  }
   return reply;
 }
 
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -185,8 +185,13 @@
   if (service == routes->services.end()) return false;
   const double share =
       1.0 / static_cast<double>(std::max<std::size_t>(readers.size(), 1));
-  return cold_permits.TryIssue(
-      server, share * service->second.cold_requests_per_second, requester, now);
+  const ColdStartCause cause =
+      now < entry->cold_until && !observations.WasWarm(server)
+          ? ColdStartCause::kStarted
+          : ColdStartCause::kTurnedCold;
+  return cold_permits.TryIssue(server,
+                               share * service->second.cold_requests_per_second,
+                               cause, requester, now);
 }
 
 bool TrafficContext::MaySendDuringColdStart(const ServerRecord& server,
