--- a/heatherlatch/relay/known_hosts_test.cc
+++ b/heatherlatch/relay/known_hosts_test.cc
@@ -38,6 +38,24 @@
   CHECK(known.Sample(1, &rng, last + kKnownHostLifetime).empty());
 }
 
+// Guards against hosts that are gone and take the places of those that live.
+TEST_CASE("a host that lives is known beside as many as are kept, all gone") {
+  std::mt19937_64 rng(7);
+  KnownHosts known(Host(1));
+  for (std::size_t i = 0; i < kMaxKnownHosts; ++i) {
+    known.NoteListed(Host(3 + i), kStart);
+  }
+  known.NoteReaderResponse(kStart);
+  const TimePoint later = kStart + milliseconds(1);
+  known.NoteListed(Host(2), later);
+  const auto kept = known.Sample(kMaxKnownHosts, &rng, later);
+  CHECK(std::count(kept.begin(), kept.end(), Host(2)) == 1);
+  known.NoteListed(Host(2), later + kKnownHostLifetime);
+  known.NoteReaderResponse(later + kKnownHostLifetime);
+  CHECK(known.Sample(kMaxKnownHosts, &rng, later + kKnownHostLifetime) ==
+        std::vector<Endpoint>{Host(2)});
+}
+
 // Guards against a gauge of hosts of the last minute that counts all of them.
 TEST_CASE("a host that was not heard of for a minute is not counted") {
   KnownHosts known(Host(1));
