Pass on changes only after the store was listed again

Whenever the store forgets its history, each reader lists it again, and then sent all items to each of its followers. By arithmetic, with 472 hosts and 1,080 entries of 300 bytes that is 150 MB at once; hosts whose transfer pauses longer than 0.7 s ask the next reader and then the store, and list it too.

Cause: a list does not tell which items were deleted before it, so that all earlier revisions were treated as too old to be told the changes. But what the host itself knew before it listed is compared with the list. Only items that were created and deleted in between stay unknown, and a follower that states a revision up to the one before the list cannot know them.

Now only followers between the two revisions, and those before the last dropped tombstone, get all items. A list's items beyond its revision are left to the changes that follow, which state them again, so that no host knows later items than its revision states. A restored store is as before: its list raises the revisions of all items, so that all are sent.

--- a/heatherlatch/relay/published_items.cc
+++ b/heatherlatch/relay/published_items.cc
@@ -19,6 +19,9 @@
   std::vector<PublishedItem> changed;
   if (page.is_complete) RemoveUnlisted(page, &changed);
   for (const PublishedItem& item : page.items) {
+    // Hosts that know no later items than their revision states can be told
+    // what changed since.
+    if (page.is_complete && item.revision > page.revision) continue;
     PublishedItem& stored = items_[item.key];
     if (!stored.key.empty() && stored.revision >= item.revision) continue;
     const bool is_same =
@@ -54,10 +57,14 @@
     ++tombstone_count_;
     changed->push_back(stored);
   }
-  // The list does not contain the deletions that precede it.
-  if (revision_ < page.revision) {
-    pruned_until_revision_ = std::max(pruned_until_revision_, page.revision);
-  }
+  if (revision_ < page.revision) NoteListed(page.revision);
+}
+
+void PublishedItems::NoteListed(std::uint64_t revision) {
+  const bool goes_on = revision_ > 0 && EraOf(revision_) == EraOf(revision);
+  pruned_until_revision_ = std::max(
+      pruned_until_revision_, goes_on ? unknown_deletions_.until : revision);
+  unknown_deletions_ = {revision_, revision};
 }
 
 void PublishedItems::StartOver() {
@@ -68,6 +75,7 @@
   tombstone_count_ = 0;
   revision_ = 0;
   pruned_until_revision_ = 0;
+  unknown_deletions_ = {};
 }
 
 void PublishedItems::DropOldestTombstone() {
@@ -88,7 +96,9 @@
 FeedPage PublishedItems::ChangesSince(std::uint64_t revision) const {
   FeedPage page;
   page.revision = revision_;
-  page.is_complete = revision < pruned_until_revision_;
+  page.is_complete = revision < pruned_until_revision_ ||
+                     (revision > unknown_deletions_.after &&
+                      revision < unknown_deletions_.until);
   for (const auto& [key, item] : items_) {
     if (page.is_complete ? !item.is_deleted : item.revision > revision) {
       page.items.push_back(item);
--- a/heatherlatch/relay/published_items.h
+++ b/heatherlatch/relay/published_items.h
@@ -44,7 +44,8 @@
 class PublishedItems {
  public:
   // Stores the items that are newer than the stored ones. A complete page also
-  // deletes the stored items that it does not list, unless they are newer. An
+  // deletes the stored items that it does not list, unless they are newer, and
+  // its items beyond its revision are left to the changes that follow it. An
   // item that a restore of the store left as it was does not count as changed.
   // @return the items that changed, in the order of their revisions
   std::vector<PublishedItem> Merge(const FeedPage& page);
@@ -54,7 +55,8 @@
   void StartOver();
 
   // @return the items that changed after `revision`, or a complete page where
-  //     tombstones of deletions since then may have been dropped
+  //     tombstones of deletions since then may have been dropped, or are
+  //     unknown because a complete page took the place of the changes
   FeedPage ChangesSince(std::uint64_t revision) const;
 
   std::uint64_t revision() const { return revision_; }
@@ -62,12 +64,22 @@
  private:
   void RemoveUnlisted(const FeedPage& page,
                       std::vector<PublishedItem>* changed);
+  // Notes that a complete page takes the place of the changes up to `revision`.
+  void NoteListed(std::uint64_t revision);
   void DropOldestTombstone();
 
+  struct RevisionRange {
+    std::uint64_t after = 0;
+    std::uint64_t until = 0;
+  };
+
   std::map<std::string, PublishedItem> items_;  // Including tombstones.
   std::uint64_t revision_ = 0;
   // Tombstones up to this revision may have been dropped.
   std::uint64_t pruned_until_revision_ = 0;
+  // Of the last complete page: items that were both created and deleted in
+  // between are not known to have existed.
+  RevisionRange unknown_deletions_;
   std::size_t tombstone_count_ = 0;
 };
 
--- a/heatherlatch/relay/published_items_test.cc
+++ b/heatherlatch/relay/published_items_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -91,6 +92,37 @@
   CHECK_FALSE(items.ChangesSince(101).is_complete);
 }
 
+// Guards against a complete list for each follower whenever the store forgot
+// its history and their reader had to list it again.
+TEST_CASE("after another list of the store, followers get the changes only") {
+  PublishedItems items;
+  items.Merge({true, 10, {{"kept", "1", 5, false}, {"left", "2", 6, false}}});
+  items.Merge({true, 20, {{"kept", "1", 5, false}, {"new", "3", 15, false}}});
+  const FeedPage page = items.ChangesSince(10);
+  CHECK_FALSE(page.is_complete);
+  REQUIRE(page.items.size() == 2);
+  CHECK(page.items[0].key == "left");
+  CHECK(page.items[0].is_deleted);
+  CHECK(page.items[1].key == "new");
+  // Such a host may know an item that was listed by neither.
+  CHECK(items.ChangesSince(11).is_complete);
+  CHECK(items.ChangesSince(19).is_complete);
+  CHECK_FALSE(items.ChangesSince(20).is_complete);
+  items.Merge({true, 30, {{"kept", "1", 5, false}}});
+  CHECK(items.ChangesSince(19).is_complete);
+  CHECK_FALSE(items.ChangesSince(20).is_complete);
+  CHECK(items.ChangesSince(21).is_complete);
+}
+
+TEST_CASE("a list brings no item beyond its revision") {
+  PublishedItems items;
+  items.Merge({true, 10, {{"a", "1", 5, false}}});
+  items.Merge({true, 20, {{"a", "2", 21, false}, {"b", "3", 22, false}}});
+  CHECK(Existing(items) == KeyValues{{"a", "1"}});
+  items.Merge({false, 22, {{"a", "2", 21, false}, {"b", "3", 22, false}}});
+  CHECK(Existing(items) == KeyValues{{"a", "2"}, {"b", "3"}});
+}
+
 // Guards against a late copy of an older state, such as one that comes through
 // another host: nothing else orders the states of an item.
 TEST_CASE("the changes of an item come in the order of the store") {
@@ -146,6 +178,17 @@
         continue;
       }
       const int requester = *rc::gen::inRange(0, kHosts);
+      if (*rc::gen::inRange(0, 4) == 0) {
+        FeedPage list = store.ChangesSince(0);
+        list.is_complete = true;
+        list.items.erase(std::remove_if(list.items.begin(), list.items.end(),
+                                        [](const PublishedItem& item) {
+                                          return item.is_deleted;
+                                        }),
+                         list.items.end());
+        hosts[requester].Merge(list);
+        continue;
+      }
       const int source = *rc::gen::inRange(0, kHosts + 1);
       const PublishedItems& from = source == kHosts ? store : hosts[source];
       hosts[requester].Merge(from.ChangesSince(hosts[requester].revision()));
