Run a suspected content alone on one host at a time

What callers and operators saw: eight hosts that got the same crashing request at one moment and again 5 s later crashed 14 servers, seven of them later than 4 s after the third crash, where the users' rule allows three.

Cause: a suspect ran isolated in each host by itself. Hosts that suspect one content ran it at the same moment, each crashed a server, and each counted its crash on top of the same number, of which the others kept the highest.

Ruled out: to sum the crashes of all hosts. Requests that share three crashed servers would have an innocent content refused.

Change: a host asks a reader before it runs a suspect isolated, the first in an order given by the digest that answers. The reader issues one permit at a time for a content, until the holder reports the end or 5 s have passed, and sends its notice of the content along, so that the next run counts on. A report of a crash carries its notice. After a complete response the reader answers that the content is cleared, so that hosts do not run a popular content in turn. Without a reader that answers within 350 ms each, hosts run the content as before; readers of the version before leave the field out and are passed over. Requests that are not suspected ask nothing.

--- a/heatherlatch/admission/crash_suspects.cc
+++ b/heatherlatch/admission/crash_suspects.cc
@@ -14,9 +14,7 @@
     return SuspectVerdict::kClear;
   }
   Suspect& suspect = found->second;
-  if (suspect.crashes >= options_.crashes_before_refusal || suspect.unshared) {
-    return SuspectVerdict::kRefuse;
-  }
+  if (IsRefused(suspect)) return SuspectVerdict::kRefuse;
   if (running_.count(digest) > 0) return SuspectVerdict::kWait;
   CountRunning(digest);
   suspect.isolated_running = true;
@@ -48,6 +46,22 @@
   if (found != suspects_.end()) found->second.isolated_running = false;
 }
 
+bool CrashSuspects::IsRefused(const Suspect& suspect) const {
+  return suspect.crashes >= options_.crashes_before_refusal || suspect.unshared;
+}
+
+bool CrashSuspects::IsRefused(ContentDigest digest, TimePoint now) const {
+  const auto found = suspects_.find(digest);
+  return found != suspects_.end() && !IsExpired(found->second, now) &&
+         IsRefused(found->second);
+}
+
+std::optional<TimePoint> CrashSuspects::LastCrash(ContentDigest digest) const {
+  const auto found = suspects_.find(digest);
+  if (found == suspects_.end()) return std::nullopt;
+  return found->second.last_crash;
+}
+
 void CrashSuspects::Merge(const SuspectNotice& notice, TimePoint now) {
   if (notice.crashes <= 0 || notice.age >= options_.retention) return;
   Suspect& suspect = FindOrAdd(notice.digest);
--- a/heatherlatch/admission/crash_suspects.h
+++ b/heatherlatch/admission/crash_suspects.h
@@ -34,6 +34,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "heatherlatch/base/name.h"
@@ -89,6 +90,15 @@
   // content: it was not sent, shed, cancelled or timed out.
   void OnInconclusiveEnd(ContentDigest digest);
 
+  // Forgets a suspect that another host cleared. A request of the content that
+  // was admitted to run isolated goes on as one that is not suspected.
+  void OnClearedElsewhere(ContentDigest digest) { suspects_.erase(digest); }
+
+  // @return whether requests of the content are refused
+  bool IsRefused(ContentDigest digest, TimePoint now) const;
+  // @return when the content crashed a server last; nothing if it is no suspect
+  std::optional<TimePoint> LastCrash(ContentDigest digest) const;
+
   // Merges a notice of a peer: the higher crash count and the later crash are
   // kept. A notice past the retention period is ignored.
   void Merge(const SuspectNotice& notice, TimePoint now);
@@ -114,6 +124,7 @@
   };
 
   bool IsExpired(const Suspect& suspect, TimePoint now) const;
+  bool IsRefused(const Suspect& suspect) const;
   void CountRunning(ContentDigest digest);
   // @return whether a request of the content was counted as running
   bool UncountRunning(ContentDigest digest);
--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -208,6 +208,32 @@
   return grants;
 }
 
+// An ask is [digest, age in milliseconds]. Hosts of an earlier version ask for
+// no isolated runs.
+std::optional<IsolatedRunAsk> ToIsolatedRunAsk(const Json& message) {
+  if (!message.contains("alone")) return std::nullopt;
+  const Json& encoded = message.at("alone");
+  return IsolatedRunAsk{encoded.at(0).get<ContentDigest>(),
+                        ToDuration(encoded.at(1))};
+}
+
+// A report is [digest, end].
+std::optional<IsolatedRunReport> ToIsolatedRunReport(const Json& message) {
+  if (!message.contains("alone_ended")) return std::nullopt;
+  constexpr auto kLast = static_cast<std::uint64_t>(IsolatedRunEnd::kCrashed);
+  const Json& encoded = message.at("alone_ended");
+  return IsolatedRunReport{
+      encoded.at(0).get<ContentDigest>(),
+      static_cast<IsolatedRunEnd>(ToCount(encoded.at(1), kLast))};
+}
+
+std::optional<IsolatedRunAnswer> ToIsolatedRunAnswer(const Json& message) {
+  if (!message.contains("alone")) return std::nullopt;
+  constexpr auto kLast =
+      static_cast<std::uint64_t>(IsolatedRunAnswer::kCleared);
+  return static_cast<IsolatedRunAnswer>(ToCount(message.at("alone"), kLast));
+}
+
 std::optional<Endpoint> ToEndpoint(const Json& encoded) {
   if (!encoded.is_string()) return std::nullopt;
   return boost::leaf::try_handle_all(
@@ -246,6 +272,15 @@
   }
   if (request.wants_all_suspects) json["all_suspects"] = true;
   if (request.wants_hosts) json["wants_hosts"] = true;
+  if (request.isolated_run) {
+    json["alone"] = {request.isolated_run->digest,
+                     std::clamp<std::int64_t>(request.isolated_run->age.count(),
+                                              0, kMaxMilliseconds)};
+  }
+  if (request.ended_run) {
+    json["alone_ended"] = {request.ended_run->digest,
+                           static_cast<unsigned>(request.ended_run->end)};
+  }
   if (!request.cold_servers.empty()) {
     json["cold"] = ToJson(request.cold_servers);
   }
@@ -276,6 +311,9 @@
   if (!response.permitted_servers.empty()) {
     json["permits"] = ToJson(response.permitted_servers);
   }
+  if (response.isolated_run) {
+    json["alone"] = static_cast<unsigned>(*response.isolated_run);
+  }
   for (const Endpoint& host : response.hosts) {
     json["hosts"].push_back(ToString(host));
   }
@@ -298,6 +336,8 @@
     request.wants_hosts = message.value("wants_hosts", false);
     request.cold_servers = ToServers(message, "cold");
     request.budget_asks = ToAsks(message);
+    request.isolated_run = ToIsolatedRunAsk(message);
+    request.ended_run = ToIsolatedRunReport(message);
     return request;
   } catch (const Json::exception& error) {
     return Fail(PeerMessageError{error.what()});
@@ -323,6 +363,7 @@
     response.permitted_servers = ToServers(message, "permits");
     response.budget_grants = ToGrants(message);
     response.hosts = ToHosts(message);
+    response.isolated_run = ToIsolatedRunAnswer(message);
     for (const Json& item : message.at("items")) {
       try {
         response.page.items.push_back(ToItem(item));
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "heatherlatch/admission/crash_suspects.h"
+#include "heatherlatch/admission/isolated_run_permits.h"
 #include "heatherlatch/base/endpoint.h"
 #include "heatherlatch/base/result.h"
 #include "heatherlatch/base/time.h"
@@ -34,6 +35,20 @@
 // The most hosts that a response lists; those beyond are left out.
 inline constexpr std::size_t kMaxHostsInResponse = 16;
 
+// Asks for a permit to run a suspect isolated
+// (admission/isolated_run_permits.h).
+struct IsolatedRunAsk {
+  ContentDigest digest = 0;
+  std::chrono::milliseconds age{};  // Since its last crash.
+};
+
+// States that an isolated run ended, for which a permit was issued. A crash is
+// also in the notices of the same message.
+struct IsolatedRunReport {
+  ContentDigest digest = 0;
+  IsolatedRunEnd end = IsolatedRunEnd::kInconclusive;
+};
+
 struct FeedRequest {
   Endpoint requester;  // Where the requesting host can be queried in turn.
   std::uint64_t after_revision = 0;     // Only later changes are requested.
@@ -49,6 +64,8 @@
   std::vector<BudgetAsk> budget_asks = {};
   // Whether to list some hosts.
   bool wants_hosts = false;
+  std::optional<IsolatedRunAsk> isolated_run = std::nullopt;
+  std::optional<IsolatedRunReport> ended_run = std::nullopt;
 };
 
 // The most hosts that may lie between a responding host and the store for its
@@ -84,6 +101,8 @@
   std::vector<Endpoint> hosts;  // Some that the responding host heard of.
   // Items that could not be read, and are not in `page`.
   int unreadable_items = 0;
+  // To `isolated_run`; absent: the responding host issues no such permits.
+  std::optional<IsolatedRunAnswer> isolated_run = std::nullopt;
 };
 
 // @return whether the responding host is up to date with the store, so that a
--- a/heatherlatch/relay/peer_messages_test.cc
+++ b/heatherlatch/relay/peer_messages_test.cc
@@ -31,6 +31,8 @@
   CHECK(decoded_request->wants_all_suspects);
   CHECK_FALSE(ValueOf(DecodeFeedRequest(Encode(FeedRequest{{"10.0.0.1", 1}})))
                   ->wants_all_suspects);
+  CHECK_FALSE(decoded_request->isolated_run);
+  CHECK_FALSE(decoded_request->ended_run);
   REQUIRE(decoded_request->suspects.size() == 1);
   CHECK(decoded_request->suspects[0].digest == suspect.digest);
   CHECK(decoded_request->suspects[0].service == suspect.service);
@@ -71,6 +73,26 @@
   CHECK(with_odd->hosts == std::vector<Endpoint>{{"10.0.0.2", 8544}});
 }
 
+TEST_CASE("messages about isolated runs are decoded as they were encoded") {
+  const ContentDigest digest = ~ContentDigest{0};
+  FeedRequest request;
+  request.requester = {"10.0.0.1", 8544};
+  request.isolated_run = IsolatedRunAsk{digest, milliseconds(120)};
+  request.ended_run = IsolatedRunReport{digest, IsolatedRunEnd::kCleared};
+  const auto asked = ValueOf(DecodeFeedRequest(Encode(request)));
+  REQUIRE(asked);
+  CHECK(asked->isolated_run->digest == digest);
+  CHECK(asked->isolated_run->age == milliseconds(120));
+  CHECK(asked->ended_run->digest == digest);
+  CHECK(asked->ended_run->end == IsolatedRunEnd::kCleared);
+
+  FeedResponse response;
+  CHECK_FALSE(ValueOf(DecodeFeedResponse(Encode(response)))->isolated_run);
+  response.isolated_run = IsolatedRunAnswer::kCleared;
+  CHECK(ValueOf(DecodeFeedResponse(Encode(response)))->isolated_run ==
+        IsolatedRunAnswer::kCleared);
+}
+
 TEST_CASE("tokens of bounds are decoded as they were encoded") {
   const BudgetKey shops{BudgetKind::kAllotment, "shops"};
   const BudgetKey server{BudgetKind::kColdStart, "i-1"};
--- a/heatherlatch/relay/shared_suspects.cc
+++ b/heatherlatch/relay/shared_suspects.cc
@@ -29,6 +29,15 @@
   return true;
 }
 
+std::optional<SuspectNotice> SharedSuspects::Find(ContentDigest digest,
+                                                  TimePoint now) const {
+  const auto found = entries_.find(digest);
+  if (found == entries_.end()) return std::nullopt;
+  const Entry& entry = found->second;
+  return SuspectNotice{digest, entry.service, entry.crashes,
+                       now - entry.crashed_at};
+}
+
 std::vector<SuspectNotice> SharedSuspects::Recent(TimePoint now) const {
   return Select(now, kMaxSharedSuspects / 2, [now](const Entry& entry) {
     return now - entry.learnt_at < kSuspectNoticeLifetime;
--- a/heatherlatch/relay/shared_suspects.h
+++ b/heatherlatch/relay/shared_suspects.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "heatherlatch/admission/crash_suspects.h"
@@ -44,6 +45,8 @@
   // @return whether the notice was stored
   bool Add(const SuspectNotice& notice, TimePoint now);
 
+  // @return the notice for a content, with its age
+  std::optional<SuspectNotice> Find(ContentDigest digest, TimePoint now) const;
   // @return the notices learnt lately, with their age; of more than
   //     kMaxSharedSuspects one half are those with most crashes, and the other
   //     half the latest of the others
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -267,30 +267,61 @@
   if (admitted_) return true;
   const SuspectVerdict verdict =
       context_->suspects.Admit(digest_, SteadyClock::now());
-  admitted_ =
-      verdict == SuspectVerdict::kClear || verdict == SuspectVerdict::kIsolate;
-  isolated_ = verdict == SuspectVerdict::kIsolate;
+  admitted_ = verdict == SuspectVerdict::kClear;
+  isolated_ = false;
   if (verdict != SuspectVerdict::kClear) {
     context_->log.Write("suspected", {{"request", request_.request_id},
                                       {"digest", std::to_string(digest_)},
                                       {"verdict", ToString(verdict)}});
   }
+  if (verdict == SuspectVerdict::kIsolate) AskForIsolatedRun();
   if (verdict == SuspectVerdict::kWait) SelectServerAfter(kAdmissionInterval);
   if (verdict == SuspectVerdict::kRefuse) {
     RefuseOrFail(NotRunReason::kSuspectedOfCrashingServers, kSuspectRetryAfter);
   }
-  return admitted_;
+  return verdict == SuspectVerdict::kClear;
+}
+
+void Exchange::AskForIsolatedRun() {
+  context_->ask_for_isolated_run(
+      digest_, [self = shared_from_this()](IsolatedRunAnswer answer) {
+        self->OnIsolatedRunAnswer(answer);
+      });
+}
+
+void Exchange::OnIsolatedRunAnswer(IsolatedRunAnswer answer) {
+  admitted_ = true;
+  isolated_ = answer == IsolatedRunAnswer::kGranted;
+  if (finished_ || answer == IsolatedRunAnswer::kDenied) {
+    EndAdmission();
+    if (!finished_) SelectServerAfter(kAdmissionInterval);
+    return;
+  }
+  if (answer == IsolatedRunAnswer::kCleared) {
+    context_->suspects.OnClearedElsewhere(digest_);
+  } else if (context_->suspects.IsRefused(digest_, SteadyClock::now())) {
+    // The answer came with notices of more crashes.
+    EndAdmission();
+    RefuseOrFail(NotRunReason::kSuspectedOfCrashingServers, kSuspectRetryAfter);
+    return;
+  }
+  SelectServer(SendKind::kPrimary);
 }
 
 void Exchange::EndAdmission() {
   if (!admitted_) return;
   admitted_ = false;
   context_->suspects.OnInconclusiveEnd(digest_);
+  if (isolated_) {
+    context_->end_isolated_run(digest_, IsolatedRunEnd::kInconclusive,
+                               std::nullopt);
+  }
 }
 
 void Exchange::ProbeForCrash(const ServerRecord& server,
                              std::function<void()> then) {
   const bool was_admitted = std::exchange(admitted_, false);
+  const bool was_isolated = was_admitted && isolated_;
   const std::size_t step = ++step_;
   const auto proceed = [self = shared_from_this(), step,
                         then = std::move(then)] {
@@ -306,6 +337,7 @@
   prober_->ProbeOverNewConnection(server, [context = context_,
                                            service = service_, digest = digest_,
                                            name = server.name, was_admitted,
+                                           was_isolated,
                                            proceed](const LoadReply& reply) {
     if (was_admitted && reply.health == Health::kNotListening) {
       const SuspectNotice notice =
@@ -316,8 +348,15 @@
                           {"digest", std::to_string(digest)},
                           {"crashes", static_cast<double>(notice.crashes)}});
       context->share_suspect(notice);
+      if (was_isolated) {
+        context->end_isolated_run(digest, IsolatedRunEnd::kCrashed, notice);
+      }
     } else if (was_admitted) {
       context->suspects.OnInconclusiveEnd(digest);
+      if (was_isolated) {
+        context->end_isolated_run(digest, IsolatedRunEnd::kInconclusive,
+                                  std::nullopt);
+      }
     }
     proceed();
   });
@@ -765,6 +804,10 @@
   if (admitted_) {
     admitted_ = false;
     context_->suspects.OnEnd(service_, digest_, false, now);
+    if (isolated_) {
+      context_->end_isolated_run(digest_, IsolatedRunEnd::kCleared,
+                                 std::nullopt);
+    }
   }
   if (std::holds_alternative<Answered>(proof)) {
     Relay(attempt, std::move(response), fields.is_signed);
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -148,6 +148,10 @@
   // @return whether the request may be sent now; otherwise a later attempt is
   //     scheduled or the request was refused
   bool Admit();
+  // Asks whether this host may run the suspect now. Until the answer, the
+  // request counts as running, even if it ends meanwhile.
+  void AskForIsolatedRun();
+  void OnIsolatedRunAnswer(IsolatedRunAnswer answer);
   // Ends the admission without a conclusion about the content.
   void EndAdmission();
   // Probes a server that did not respond over a new connection. If its process
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -586,6 +586,18 @@
           respond({kOk, Encode(response)});
           return {};
         }
+        if (query.isolated_run) {
+          respond({kOk, Encode(AnswerIsolatedRun(query.requester,
+                                                 *query.isolated_run, now))});
+          return {};
+        }
+        if (query.ended_run) {
+          MergeSuspects(query.suspects, true);
+          context_->isolated_runs.End(query.ended_run->digest, query.requester,
+                                      query.ended_run->end, now);
+          respond({kOk, Encode(FeedResponse())});
+          return {};
+        }
         choice_.OnRequestFrom(query.requester, now);
         known_hosts_.NoteRequest(query.requester, now);
         MergeSuspects(query.suspects, true);
@@ -622,6 +634,29 @@
   return response;
 }
 
+FeedResponse PublishedFeed::AnswerIsolatedRun(const Endpoint& requester,
+                                              const IsolatedRunAsk& ask,
+                                              TimePoint now) {
+  FeedResponse response;
+  const std::vector<Endpoint>& readers = context_->settings.seeds;
+  if (std::find(readers.begin(), readers.end(),
+                context_->settings.peer_listen) == readers.end()) {
+    return response;
+  }
+  TimePoint crashed_at = now - ask.age;
+  if (const auto notice = suspects_.Find(ask.digest, now)) {
+    crashed_at = std::max(crashed_at, now - notice->age);
+    response.suspects.push_back(*notice);
+  }
+  response.isolated_run =
+      context_->isolated_runs.Ask(ask.digest, requester, crashed_at, now);
+  context_->metrics.Count("isolated_runs",
+                          *response.isolated_run == IsolatedRunAnswer::kDenied
+                              ? "denied-to-other"
+                              : "granted-to-other");
+  return response;
+}
+
 void PublishedFeed::ShareSuspect(const SuspectNotice& notice) {
   if (!suspects_.Add(notice, SteadyClock::now())) return;
   RespondToPending(true);
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -68,6 +68,11 @@
   // Reports a content that crashed a server to other hosts.
   void ShareSuspect(const SuspectNotice& notice);
 
+  // Takes over notices of another host.
+  void LearnSuspects(const std::vector<SuspectNotice>& notices) {
+    MergeSuspects(notices, false);
+  }
+
   // Asks the other readers for the contents that crashed servers, if this host
   // is a reader: it queries no other host otherwise. Another host that follows
   // no host sends its notices to hosts that it knows, for those that
@@ -165,6 +170,10 @@
   // @return a response that names the servers for which a permit was issued
   FeedResponse IssueColdPermits(const std::vector<BackendServerName>& servers,
                                 TimePoint now);
+  // Answers whether another host may run a suspect isolated.
+  // @return a response with the answer, and the notice of the content
+  FeedResponse AnswerIsolatedRun(const Endpoint& requester,
+                                 const IsolatedRunAsk& ask, TimePoint now);
   // Responds to the pending queries for which there are changes or whose wait
   // is over.
   // @param all  whether to respond to the others too
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -17,6 +17,7 @@
 #include "heatherlatch/admission/byte_budget.h"
 #include "heatherlatch/admission/cold_start_permits.h"
 #include "heatherlatch/admission/crash_suspects.h"
+#include "heatherlatch/admission/isolated_run_permits.h"
 #include "heatherlatch/admission/loop_delay.h"
 #include "heatherlatch/admission/token_bucket.h"
 #include "heatherlatch/fleet/server_directory.h"
@@ -134,6 +135,15 @@
   RouteStatistics statistics;
   CrashSuspects suspects;
   ColdStartPermits cold_permits;
+  // As issued by this host, if it is a reader of the store.
+  IsolatedRunPermits isolated_runs;
+  // Asks for a permit to run a suspect isolated, and returns it
+  // (traffic/isolated_run_client.h).
+  std::function<void(ContentDigest, std::function<void(IsolatedRunAnswer)>)>
+      ask_for_isolated_run;
+  std::function<void(ContentDigest, IsolatedRunEnd,
+                     const std::optional<SuspectNotice>&)>
+      end_isolated_run;
   // Asks for a permit.
   std::function<void(const BackendServerName&)> want_cold_permit;
   // Acquires tokens of the bounds that all hosts keep together.
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -60,6 +60,10 @@
       load_settings_(std::move(load_settings)),
       prober_(&context_),
       cold_permit_client_(&context_),
+      isolated_run_client_(&context_,
+                           [this](const std::vector<SuspectNotice>& notices) {
+                             feed_.LearnSuspects(notices);
+                           }),
       budget_client_(&context_),
       feed_(&context_,
             [this](const std::vector<PublishedItem>& items,
@@ -76,6 +80,14 @@
   context_.share_suspect = [this](const SuspectNotice& notice) {
     feed_.ShareSuspect(notice);
   };
+  context_.ask_for_isolated_run = [this](ContentDigest digest, auto done) {
+    isolated_run_client_.Ask(digest, std::move(done));
+  };
+  context_.end_isolated_run = [this](
+                                  ContentDigest digest, IsolatedRunEnd end,
+                                  const std::optional<SuspectNotice>& notice) {
+    isolated_run_client_.End(digest, end, notice);
+  };
   context_.want_cold_permit = [this](const BackendServerName& server) {
     cold_permit_client_.Want(server);
   };
@@ -205,6 +217,8 @@
   context_.observations.RemoveStale(kObservationRetention, now);
   context_.cold_permits.RemoveStale(kColdStartRetention, now);
   context_.suspects.Expire(now);
+  context_.isolated_runs.RemoveExpired(kSuspectNoticeRetention, now);
+  isolated_run_client_.RemoveExpired(now);
   feed_.QuerySuspects(now);
   budget_client_.RemoveExpired();
   for (auto it = callers_.begin(); it != callers_.end();) {
--- a/heatherlatch/traffic/traffic_host.h
+++ b/heatherlatch/traffic/traffic_host.h
@@ -26,6 +26,7 @@
 #include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/caller_connection.h"
 #include "heatherlatch/traffic/cold_permit_client.h"
+#include "heatherlatch/traffic/isolated_run_client.h"
 #include "heatherlatch/traffic/published_feed.h"
 #include "heatherlatch/traffic/simple_http_server.h"
 
@@ -95,6 +96,7 @@
   LoadSettings load_settings_;
   LoadProber prober_;
   ColdPermitClient cold_permit_client_;
+  IsolatedRunClient isolated_run_client_;
   BudgetClient budget_client_;
   PublishedFeed feed_;
   std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
