Give programs that tests start ports that no connection takes

Cause: the free ports were among those that the kernel gives to connections. A test opens a connection for each call; one that is given a port of a host that is down keeps the host from listening again, and does so for as long as it waits after its end (tried by hand: "Address already in use" for both).

Change: free ports are below that range.

--- a/standins/common/free_port.cc
+++ b/standins/common/free_port.cc
@@ -4,22 +4,40 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdint>
+#include <random>
+
 namespace heatherlatch::standins {
 
-Endpoint FreeEndpoint() {
+namespace {
+
+// Below the ports that the kernel gives to connections.
+constexpr std::uint16_t kFirstPort = 15000;
+constexpr std::uint16_t kLastPort = 32000;
+constexpr int kMaxTries = 1000;
+
+bool IsFree(std::uint16_t port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = {};
   address.sin_family = AF_INET;
+  address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  Endpoint endpoint{"127.0.0.1", 0};
-  if (bind(descriptor, generic, size) == 0 &&
-      getsockname(descriptor, generic, &size) == 0) {
-    endpoint.port = ntohs(address.sin_port);
-  }
+  const bool is_free = bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                            sizeof(address)) == 0;
   close(descriptor);
-  return endpoint;
+  return is_free;
+}
+
+}  // namespace
+
+Endpoint FreeEndpoint() {
+  static thread_local std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
+  for (int i = 0; i < kMaxTries; ++i) {
+    const auto port = static_cast<std::uint16_t>(ports(random));
+    if (IsFree(port)) return {"127.0.0.1", port};
+  }
+  return {"127.0.0.1", 0};
 }
 
 }  // namespace heatherlatch::standins
--- a/standins/common/free_port.h
+++ b/standins/common/free_port.h
@@ -6,8 +6,10 @@
 
 namespace heatherlatch::standins {
 
-// @return an endpoint on loopback that was free when checked. Another process
-//     may bind it first, so retry with a new one if listening fails
+// @return an endpoint on loopback that was free when checked, at a port that no
+//     outgoing connection is given: a program that ends and starts again finds
+//     it free. Another process may bind it first, so retry with a new one if
+//     listening fails. Port 0 if none was found
 Endpoint FreeEndpoint();
 
 }  // namespace heatherlatch::standins
--- a/tests/harness/child_process_test.cc
+++ b/tests/harness/child_process_test.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "heatherlatch/backend/testing/raw_server.h"
+#include "standins/common/free_port.h"
 
 namespace heatherlatch::testing {
 namespace {
@@ -28,5 +29,17 @@
   CHECK(text.str().find("socket:") == std::string::npos);
 }
 
+// Guards against hosts that do not start again since a connection took a port.
+TEST_CASE("ports of started programs are given to no connection") {
+  int first = 0;
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> first;
+  REQUIRE(first > 0);
+  for (int i = 0; i < 100; ++i) {
+    const int port = standins::FreeEndpoint().port;
+    CHECK(port > 0);
+    CHECK(port < first);
+  }
+}
+
 }  // namespace
 }  // namespace heatherlatch::testing
