Count only the sends since a quiet time for the rate after it

Queues kept requests for up to two seconds after a break that could not be served in time, in place of a refusal at once.

Cause: since the time of the rate begins after the break, but the sends of all two seconds were counted: 100 sends, a break of 0.6 s and 20 sends in 0.2 s gave 600 sends a second where 100 are sent.

Now both begin after the break. Without sends before the break nothing changes.

Test: "sends before a quiet time do not make the next ones faster" failed before (600) and passes; queueing_test "~[known-red]" passes (32 cases).

--- a/heatherlatch/queueing/service_pace.cc
+++ b/heatherlatch/queueing/service_pace.cc
@@ -72,12 +72,13 @@
 }
 
 std::optional<double> ServicePace::SendsPerSecond(TimePoint now) const {
-  const std::size_t count = CountSince(sent_at_, now - kWindow);
+  TimePoint counted_since = std::max(busy_since_, now - kWindow);
+  if (sent_at_.size() == kMaxKept) {
+    counted_since = std::max(counted_since, sent_at_.front());
+  }
+  const std::size_t count = CountSince(sent_at_, counted_since);
   if (count >= kMinSends) {
-    const TimePoint kept_since =
-        sent_at_.size() == kMaxKept ? sent_at_.front() : now - kWindow;
-    return static_cast<double>(count) /
-           SecondsOfWindow(std::max(kept_since, busy_since_), now);
+    return static_cast<double>(count) / SecondsOfWindow(counted_since, now);
   }
   if (none_waits_ || now - *waiting_since_ < kMinWaiting) {
     return std::nullopt;
--- a/heatherlatch/queueing/waiting_queue_test.cc
+++ b/heatherlatch/queueing/waiting_queue_test.cc
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "heatherlatch/queueing/service_pace.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -164,6 +166,17 @@
   CHECK_FALSE(queue.TakeOverdue(kNow + milliseconds(700)).empty());
 }
 
+// Guards against sends before a quiet time that count as sent after it.
+TEST_CASE("sends before a quiet time do not make the next ones faster") {
+  ServicePace pace;
+  for (int i = 0; i < 100; ++i) pace.OnSent(kNow - milliseconds(1600 - 10 * i));
+  pace.OnNoneWaiting();
+  for (int i = 0; i < 20; ++i) pace.OnSent(kNow + milliseconds(10 * i));
+  const auto rate = pace.SendsPerSecond(kNow + milliseconds(200));
+  REQUIRE(rate);
+  CHECK(*rate == Approx(100));
+}
+
 TEST_CASE("a late request is refused if those to come take all the room") {
   for (const int arrivals_per_second : {0, 100}) {
     WaitingQueue queue;
