Let suspects run when more are suspected than are remembered

Before a landing, by reading (review): after the loss of a zone many contents are suspects at once. A reader remembers 1,024 for permits to run alone, for a minute if they were cleared, and denied all others, so that innocent requests would have waited until their deadlines.

Change: beyond that number each host that asks gets a permit, as without a reader.

Evidence: the test "contents beyond those that are remembered run by themselves" takes the place of one that demanded the denial; admission_test holds.

--- a/heatherlatch/admission/isolated_run_permits.cc
+++ b/heatherlatch/admission/isolated_run_permits.cc
@@ -14,7 +14,7 @@
                                           TimePoint crashed_at, TimePoint now) {
   const auto known = contents_.find(digest);
   if (known == contents_.end() && contents_.size() >= kMaxIsolatedRunContents) {
-    return IsolatedRunAnswer::kDenied;
+    return IsolatedRunAnswer::kGranted;
   }
   Content& content = contents_[digest];
   if (content.cleared_at && crashed_at < *content.cleared_at) {
--- a/heatherlatch/admission/isolated_run_permits.h
+++ b/heatherlatch/admission/isolated_run_permits.h
@@ -28,7 +28,8 @@
 // How long a holder that does not respond any more keeps others from running
 // the content. The next host may then run it even if the first run goes on.
 inline constexpr Duration kIsolatedRunPermitLifetime = std::chrono::seconds(5);
-// The most contents that are remembered. Beyond, permits are denied.
+// The most contents that are remembered. For others, each host that asks gets a
+// permit: after the loss of a zone many innocent contents are suspects at once.
 inline constexpr std::size_t kMaxIsolatedRunContents = 1024;
 
 enum class IsolatedRunAnswer {
