Wait for the first permit by the distance of the server

The wait is now in proportion to the round trip that the reader measured: one second at 30 ms or if it is not known, less than an interval of the permits at 1 ms each way.

--- a/heatherlatch/admission/cold_start_permits.cc
+++ b/heatherlatch/admission/cold_start_permits.cc
@@ -1,5 +1,6 @@
 #include "heatherlatch/admission/cold_start_permits.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace heatherlatch {
@@ -9,16 +10,24 @@
 // somewhat longer than a host waits before it asks again.
 constexpr Duration kTurnOfOthers = std::chrono::seconds(2);
 
+// Of a server 15 ms away, the requests on their way alone may use up the bound.
+constexpr Duration kMaxFirstDelay = std::chrono::seconds(1);
+constexpr Duration kRoundTripOfMaxFirstDelay = std::chrono::milliseconds(30);
+
 }  // namespace
 
+Duration DelayOfFirstPermit(Duration round_trip) {
+  if (round_trip <= Duration::zero()) return kMaxFirstDelay;
+  return std::min(kMaxFirstDelay,
+                  round_trip * (kMaxFirstDelay / kRoundTripOfMaxFirstDelay));
+}
+
 bool ColdStartPermits::TryIssue(const BackendServerName& server,
-                                double per_second, ColdStartCause cause,
+                                double per_second, Duration first_delay,
                                 PermitRequester requester, TimePoint now) {
   if (per_second <= 0) return false;
-  const TimePoint not_before =
-      cause == ColdStartCause::kTurnedCold ? now + kRequestsOnTheirWay : now;
   Issue& issue =
-      issues_.try_emplace(server, Issue{now, not_before}).first->second;
+      issues_.try_emplace(server, Issue{now, now + first_delay}).first->second;
   const bool is_turn_of_others =
       issue.other_denied_at && now - *issue.other_denied_at < kTurnOfOthers;
   const bool is_for_other = requester == PermitRequester::kOtherHost;
--- a/heatherlatch/admission/cold_start_permits.h
+++ b/heatherlatch/admission/cold_start_permits.h
@@ -9,11 +9,11 @@
 // A reader has no permit to issue when it first hears of a server, so that
 // restarts add none. If the server turned cold while it was in use, hosts that
 // have not learnt it send requests for about a round trip more. Then the first
-// permit follows after `kRequestsOnTheirWay`, so that these requests and
+// permit follows later, by `DelayOfFirstPermit`, so that these requests and
 // permits do not add up within one second.
 //
 // Example:
-//   permits.TryIssue(server, rate / readers, cause, requester, now);
+//   permits.TryIssue(server, rate / readers, first_delay, requester, now);
 //   permits.Receive(server, asked_at);              // At the host that asked.
 //   if (permits.Has(server, now)) permits.Use(server);
 //
@@ -34,15 +34,11 @@
 inline constexpr Duration kColdStartPermitLifetime =
     std::chrono::milliseconds(400);
 
-// How long a reader issues no permit for a server that turned cold: the time
-// within which the users' rules count.
-inline constexpr Duration kRequestsOnTheirWay = std::chrono::seconds(1);
-
-// How a cold start began.
-enum class ColdStartCause {
-  kStarted,  // With the server, which no host has used before.
-  kTurnedCold,
-};
+// @param round_trip  to the server; zero: not known
+// @return how long a reader issues no permit for a server that turned cold: up
+//     to the second within which the users' rules count, in proportion to the
+//     requests that are on their way meanwhile
+Duration DelayOfFirstPermit(Duration round_trip);
 
 // Who asks a reader for a permit.
 enum class PermitRequester { kSelf, kOtherHost };
@@ -51,11 +47,12 @@
  public:
   // Issues a permit for one request, as a reader. Its own requests and those of
   // other hosts take turns.
-  // @param per_second  this reader's part of the server's rate
-  // @param cause       is read at the first call for a cold start
+  // @param per_second   this reader's part of the server's rate
+  // @param first_delay  after the first call for a cold start, in which no
+  //                     permit is issued; zero for a server that started cold
   // @return whether the rate, and the turn, allow it
   bool TryIssue(const BackendServerName& server, double per_second,
-                ColdStartCause cause, PermitRequester requester, TimePoint now);
+                Duration first_delay, PermitRequester requester, TimePoint now);
   // Notes that the server stated that it is in no cold start.
   // @return whether permits were issued, or asked for, since the last such
   //     statement
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -185,13 +185,14 @@
   if (service == routes->services.end()) return false;
   const double share =
       1.0 / static_cast<double>(std::max<std::size_t>(readers.size(), 1));
-  const ColdStartCause cause =
-      now < entry->cold_until && !observations.WasWarm(server)
-          ? ColdStartCause::kStarted
-          : ColdStartCause::kTurnedCold;
+  const bool started_cold =
+      now < entry->cold_until && !observations.WasWarm(server);
+  const Duration first_delay =
+      started_cold ? Duration::zero()
+                   : DelayOfFirstPermit(observations.ProbeDuration(server));
   return cold_permits.TryIssue(server,
                                share * service->second.cold_requests_per_second,
-                               cause, requester, now);
+                               first_delay, requester, now);
 }
 
 bool TrafficContext::MaySendDuringColdStart(const ServerRecord& server,
