Query the store when no reader serves a host in time

Callers of a host got responses by an old configuration for as long as its readers were too slow for it, though the store could have served it.

Cause: a reader that failed was left out for two seconds. A transfer is given up after four, so that with three readers there was always one to try, and the store, which is queried only when none is left, never was.

A reader that failed is now queried before the store again only after a response of any source, or after the store was chosen.

"a host that no reader serves in time queries the store" fails without the change: the sources queried are 10.0.0.2, 10.0.0.3, 10.0.0.1 and 10.0.0.2 again.

--- a/heatherlatch/relay/source_choice.cc
+++ b/heatherlatch/relay/source_choice.cc
@@ -81,6 +81,7 @@
     const bool is_candidate =
         peer.is_reader || (!readers_only && requested_recently);
     if (!is_candidate || !IsEligible(peer, now)) continue;
+    if (readers_only && peer.failed_in_round) continue;
     const bool failed_recently =
         peer.failed_at && now - *peer.failed_at < kRecentFailurePeriod;
     const Rank rank(failed_recently ? *peer.failed_at : TimePoint::min(),
@@ -119,6 +120,10 @@
   return first;
 }
 
+void SourceChoice::BeginRound() {
+  for (auto& [endpoint, peer] : peers_) peer.failed_in_round = false;
+}
+
 FeedStep SourceChoice::Next(TimePoint now) {
   if (!readers_only_until_) readers_only_until_ = now + kReaderStartupGrace;
   const auto first = StartupStep(now);
@@ -128,7 +133,10 @@
     if (reader) return {PeerSource{*reader}, Duration::zero()};
   }
   const auto store = StoreStep(now);
-  if (store) return *store;
+  if (store) {
+    BeginRound();
+    return *store;
+  }
   const auto peer = BestPeer(false, now);
   if (peer) return {PeerSource{*peer}, Duration::zero()};
   return {StoreSource{}, TimeUntilEligible(now)};
@@ -137,6 +145,7 @@
 void SourceChoice::OnResponse(const FeedSource& source, Duration round_trip,
                               TimePoint) {
   has_response_ = true;
+  BeginRound();
   if (const auto* peer_source = std::get_if<PeerSource>(&source)) {
     Peer& peer = peers_[peer_source->endpoint];
     peer.failed_at.reset();
@@ -153,6 +162,7 @@
     Peer& peer = peers_[peer_source->endpoint];
     peer.failed_at = now;
     peer.backoff_until = now + kFailureBackoff;
+    peer.failed_in_round = true;
     return;
   }
   queries_store_first_ = false;
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -7,6 +7,10 @@
 // refuses queries other hosts. So every host that reaches an up-to-date source
 // stays up to date.
 //
+// A reader that failed is not queried again before the store, however long the
+// attempts took: otherwise a host whose readers are all too slow for it would
+// never query the store.
+//
 // Example:
 //   FeedStep step = choice.Next(now);
 //   ... query step.source after step.delay ...
@@ -129,6 +133,9 @@
     std::optional<TimePoint> backoff_until;
     std::optional<TimePoint> last_request_at;
     Duration round_trip{};  // Zero: not known yet.
+    // Whether it failed since the last response of any source and since the
+    // store was last chosen.
+    bool failed_in_round = false;
   };
 
   // @return a request to a reader while readers of a new deployment may still
@@ -140,6 +147,8 @@
   Duration TimeUntilEligible(TimePoint now) const;
   std::optional<Endpoint> BestPeer(bool readers_only, TimePoint now) const;
   std::optional<FeedStep> StoreStep(TimePoint now) const;
+  // Lets the readers that failed be queried before the store again.
+  void BeginRound();
 
   Endpoint self_;
   bool is_reader_ = false;
--- a/heatherlatch/relay/source_choice_test.cc
+++ b/heatherlatch/relay/source_choice_test.cc
@@ -51,6 +51,24 @@
   CHECK(Describe(host.Next(kStart + kFailureBackoff)) != "store");
 }
 
+// Guards against hosts that never receive a large table from busy readers.
+TEST_CASE("a host that no reader serves in time queries the store") {
+  const std::vector<Endpoint> readers = {kNear, kFar, {"10.0.0.3", 1}};
+  SourceChoice host(kSelf, readers, DeploymentStart::kFirst);
+  host.OnResponse(PeerSource{kNear}, milliseconds(1), kStart);
+  const Duration attempt = 2 * kFailureBackoff;
+  TimePoint now = kStart;
+  std::vector<std::string> queried;
+  for (std::size_t i = 0; i <= readers.size(); ++i) {
+    const FeedStep step = host.Next(now);
+    queried.push_back(Describe(step));
+    now += attempt;
+    host.OnFailure(step.source, now);
+  }
+  CAPTURE(queried);
+  CHECK(queried.back() == "store");
+}
+
 TEST_CASE("a reader that the store refuses queries its requesters") {
   SourceChoice reader(kNear, {kNear}, DeploymentStart::kFirst);
   reader.OnRequestFrom(kSelf, kStart);
