Take over a new item that has an empty value

An order to take an availability zone out of service that an operator writes without a value was never applied, and was passed on to other hosts without its key.

Cause: a new item was compared with an entry that had just been added for it. An empty value is the same as that of the added entry, of revision 0, so that it counted as an item that a restore of the store left as it was.

"a new item with an empty value is not lost" fails without the change (0 changed items, 1 expected).

--- a/heatherlatch/relay/published_items.cc
+++ b/heatherlatch/relay/published_items.cc
@@ -24,8 +24,8 @@
     if (page.is_complete && item.revision > page.revision) continue;
     PublishedItem& stored = items_[item.key];
     if (!stored.key.empty() && stored.revision >= item.revision) continue;
-    const bool is_same =
-        !stored.is_deleted && !item.is_deleted && stored.value == item.value;
+    const bool is_same = !stored.key.empty() && !stored.is_deleted &&
+                         !item.is_deleted && stored.value == item.value;
     const bool is_restored =
         EraOf(stored.revision) < EraOf(item.revision) || stored.revision == 0;
     if (is_same && is_restored) {
--- a/heatherlatch/relay/published_items_test.cc
+++ b/heatherlatch/relay/published_items_test.cc
@@ -21,6 +21,12 @@
   return key_values;
 }
 
+TEST_CASE("a new item with an empty value is not lost") {
+  PublishedItems items;
+  CHECK(items.Merge({false, 5, {{"zone-order", "", 5, false}}}).size() == 1);
+  CHECK(Existing(items) == KeyValues{{"zone-order", ""}});
+}
+
 TEST_CASE("an older item never replaces a newer one", "[promise-10]") {
   PublishedItems items;
   items.Merge({false, 5, {{"config", "five", 5, false}}});
