Log transfers and revisions of the configuration

The logs could not tell a host that lacks an item from one whose transfer of it never ends, and a 404 did not say which revision its table has.

Transfers of 16 KB or more and those that are given up have a log line and a counter. `configuration` and the responses that rest on the table have the revision of the table, the latter also the one up to which the host knows all items. Two gauges show both for each host, so that one that is behind is seen beside the others. No change of logic, but for what the lines cost.

--- a/heatherlatch/routing/table_confirmation.h
+++ b/heatherlatch/routing/table_confirmation.h
@@ -8,6 +8,7 @@
 #ifndef HEATHERLATCH_ROUTING_TABLE_CONFIRMATION_H_
 #define HEATHERLATCH_ROUTING_TABLE_CONFIRMATION_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "heatherlatch/base/time.h"
@@ -28,6 +29,10 @@
   // Whether the table is the newest one received. False: a newer one could not
   // be read.
   bool is_newest = true;
+  // Ordered revisions, by which the store counts: that of the newest table
+  // received, and the one up to which all published items are known. 0: none.
+  std::uint64_t table_revision = 0;
+  std::uint64_t known_revision = 0;
 };
 
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/client_connection.cc
+++ b/heatherlatch/traffic/client_connection.cc
@@ -171,7 +171,8 @@
   }
   buffer_.commit(size);
   const TimePoint now = SteadyClock::now();
-  transfer_ = Transfer{transfer_ ? transfer_->began_at : now, now};
+  transfer_ = Transfer{transfer_ ? transfer_->began_at : now, now,
+                       (transfer_ ? transfer_->bytes : 0) + size};
   if (!done_ || !request_started_) {
     Abort("received bytes while no request was in progress");
     return;
--- a/heatherlatch/traffic/client_connection.h
+++ b/heatherlatch/traffic/client_connection.h
@@ -128,6 +128,7 @@
   struct Transfer {
     TimePoint began_at;  // Of the first byte.
     TimePoint last_at;   // Of the last bytes so far.
+    std::uint64_t bytes = 0;
   };
   // @return the transfer of the response to the call in progress or, when none
   //     is, to the last one; absent while no byte of it was received
--- a/heatherlatch/traffic/configuration_basis.cc
+++ b/heatherlatch/traffic/configuration_basis.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "heatherlatch/relay/store_revision.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -25,6 +27,10 @@
     : authority_(ForLog(authority)),
       target_(ForLog(target)),
       version_(table == nullptr ? 0 : static_cast<double>(table->version)),
+      table_revision_(
+          static_cast<double>(RevisionInEra(confirmation.table_revision))),
+      known_revision_(
+          static_cast<double>(RevisionInEra(confirmation.known_revision))),
       source_(ToString(confirmation.origin.source)),
       hops_(confirmation.origin.hops) {
   if (confirmation.confirmed_at) age_ = now - *confirmation.confirmed_at;
--- a/heatherlatch/traffic/configuration_basis.h
+++ b/heatherlatch/traffic/configuration_basis.h
@@ -35,6 +35,10 @@
   DecisionLog::Value target() const { return target_; }
   // @return the version of the route table; 0: none
   DecisionLog::Value version() const { return version_; }
+  // @return the store's revision of the newest table received; 0: none
+  DecisionLog::Value table_revision() const { return table_revision_; }
+  // @return the store's revision up to which all items are known; 0: none
+  DecisionLog::Value known_revision() const { return known_revision_; }
   // @return the time since the store confirmed the table, in milliseconds;
   //     left out if it has not since the start or the last suspension
   DecisionLog::Value age_ms() const;
@@ -47,6 +51,8 @@
   std::string authority_;
   std::string target_;
   double version_;
+  double table_revision_;
+  double known_revision_;
   std::optional<Duration> age_;
   std::string source_;
   double hops_;
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -66,6 +66,9 @@
 // The age that is reported to other hosts while no source responds.
 constexpr Duration kStaleAge = std::chrono::hours(1);
 
+// Responses of this size on are logged one by one.
+constexpr std::uint64_t kLoggedTransferBytes = 16u << 10;
+
 // Unreadable items of which the problem is remembered, so that it is logged
 // once.
 constexpr std::size_t kMaxUnreadableRemembered = 1000;
@@ -223,6 +226,7 @@
       return;
     }
     ++call_id_;
+    RecordTransfer("given-up");
     OnFailure("no complete response within the timeout", true);
   });
 }
@@ -239,6 +243,22 @@
   return transfer ? transfer->began_at : SteadyClock::now();
 }
 
+void PublishedFeed::RecordTransfer(std::string_view outcome) {
+  const auto& transfer = connection_->transfer();
+  const bool is_complete = outcome == "complete";
+  if (!transfer || (is_complete && transfer->bytes < kLoggedTransferBytes)) {
+    return;
+  }
+  context_->metrics.Count("feed_transfers", outcome);
+  context_->log.Write(
+      is_complete ? "feed-transfer" : "feed-transfer-given-up",
+      {{"source", ToString(source_)},
+       {"bytes", static_cast<double>(transfer->bytes)},
+       {"first_byte_ms", ToMilliseconds(transfer->began_at - queried_at_.at)},
+       {"transfer_ms", ToMilliseconds(transfer->last_at - transfer->began_at)},
+       {"revision", static_cast<double>(RevisionInEra(items_.revision()))}});
+}
+
 void PublishedFeed::OnResult(std::size_t call_id, const CallResult& result) {
   if (call_id != call_id_ || stopped_) return;
   ++call_id_;
@@ -252,6 +272,7 @@
     OnFailure(no_response->problem, false);
     return;
   }
+  RecordTransfer("complete");
   const auto& response = std::get<ServerResponse>(result).message;
   boost::leaf::try_handle_all(
       [&] { return OnResponse(response); },
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -85,6 +85,9 @@
     return known_hosts_.Count(now);
   }
 
+  // @return the ordered revision up to which all items are known; 0: none
+  std::uint64_t revision() const { return items_.revision(); }
+
   // @return until when a server whose entry is removed now may be listed again;
   //     nothing: the server has left
   std::optional<TimePoint> RelistingEnd(TimePoint now) const {
@@ -110,6 +113,9 @@
   TimePoint TransferDeadline() const;
   // @return when the source made the response that has been received
   TimePoint ResponseBeganAt() const;
+  // Logs and counts a transfer of a large response.
+  // @param outcome  "complete" or "given-up"
+  void RecordTransfer(std::string_view outcome);
 
   void OnResult(std::size_t call_id, const CallResult& result);
   Result<void> OnResponse(const http::response<http::string_body>& response);
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -144,6 +144,12 @@
   context_.metrics.SetGauge(
       "known_hosts",
       static_cast<double>(feed_.CountKnownHosts(SteadyClock::now())));
+  context_.metrics.SetGauge(
+      "published_revision",
+      static_cast<double>(RevisionInEra(feed_.revision())));
+  context_.metrics.SetGauge(
+      "route_table_version",
+      context_.routes ? static_cast<double>(context_.routes->version) : 0);
   const OverflowShares shares = context_.overflow.HighestShares();
   context_.metrics.SetGauge("zone_overflow_region_thousandths",
                             shares.region * kThousandths);
@@ -360,6 +366,7 @@
 void TrafficHost::ApplyRouteTable(const PublishedItem& item,
                                   const ItemOrigin& origin) {
   bool& is_newest = context_.table_confirmation.is_newest;
+  context_.table_confirmation.table_revision = item.revision;
   const auto refuse = [&](std::string_view problem) {
     is_newest = false;
     context_.log.Write(
@@ -380,11 +387,13 @@
         }
         is_newest = true;
         if (table.version == known) return {};
-        context_.log.Write("configuration",
-                           {{"version", static_cast<double>(table.version)},
-                            {"before", static_cast<double>(known)},
-                            {"source", ToString(origin.source)},
-                            {"hops", static_cast<double>(origin.hops)}});
+        context_.log.Write(
+            "configuration",
+            {{"version", static_cast<double>(table.version)},
+             {"before", static_cast<double>(known)},
+             {"revision", static_cast<double>(RevisionInEra(item.revision))},
+             {"source", ToString(origin.source)},
+             {"hops", static_cast<double>(origin.hops)}});
         for (const RouteName& route : table.unreadable_routes) {
           context_.log.Write("route-refused", {{"route", route.str()}});
         }
