Do not count as up to date without an item that cannot be read

A host that received the newest route table in a form that it cannot read answered 404 to requests for the routes that the table added, and served moved ones by the older table, for good.

Cause: an unreadable item was left out, while the revision went on, so that the host counted as up to date without it and never asked for it again.

A response of another host with such an item no longer advances the revision, and the host asks another source.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -443,8 +443,14 @@
   if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
   if (is_up_to_date) relisting_.OnConfirmed(confirmed_at);
   const bool has_changes = !response.page.items.empty();
+  if (response.unreadable_items > 0) {
+    // They are asked for again, of another source.
+    response.page.is_complete = false;
+    response.page.revision = known;
+  }
   if (may_follow) Merge(response.page, response.hops + 1, confirmed_at);
-  if (!is_up_to_date) {
+  if (!is_up_to_date || response.unreadable_items > 0) {
+    RespondToPending(false);
     followed_peer_.reset();
     OnPeerStale();
     return {};
