Read a list of the store to its end

A host beside readers that are not up to date never completed a list of several pages, and served by what they told it. A list that claimed to go on without stating after which key removed all servers.

Cause: between two pages the host chose its source anew. A reader that was out of date could be queried again after 250 ms, failed again, and the pages that had been read were dropped. A list that goes on after no key counted as complete.

A list that was begun goes on from the store until it is complete or the store fails; one that has no key to go on after is a failed query. After a suspension it begins again, since the steady clock does not tell how old its pages are.

Without the change "a list of two pages is completed beside readers that are stale" never lists, and "a list that has no key to go on after does not remove servers" lists nothing as complete.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -130,6 +130,7 @@
   followed_peer_.reset();
   if (connection_) connection_->Cancel();
   connection_ = nullptr;
+  RestartList();  // Its first page is older than the steady clock tells.
   QueryNextSource();
 }
 
@@ -149,6 +150,12 @@
 
 void PublishedFeed::QueryNextSource() {
   if (stopped_) return;
+  if (!list_after_key_.empty()) {
+    // The pages that were read are of use only with those that follow.
+    source_ = StoreSource{};
+    QueryStore();
+    return;
+  }
   const FeedStep step = choice_.Next(SteadyClock::now());
   if (step.delay > Duration::zero()) {
     QueryAfter(step.delay);
@@ -377,7 +384,10 @@
   }
   partial_list_.items.insert(partial_list_.items.end(), page.items.begin(),
                              page.items.end());
-  if (page.has_more && page.last_key > list_after_key_) {
+  if (page.has_more) {
+    if (page.last_key <= list_after_key_) {
+      return Fail(wire::DocumentError{"the list has no key to go on after"});
+    }
     list_after_key_ = page.last_key;
     QueryNextSource();
     return {};
