Pass on a change with the age of the confirmation that brought it

When a change took long to come from the store, all followers of a reader left it at the same moment and turned to the other readers and the store.

Cause: a reader responded to the queries that waited for a change before it noted the confirmation that the change came with. The stated age was that of the confirmation before, and beyond 2.2 s if the transfer took more than about a second.

The responses are sent once the confirmation is noted. Without the change "a reader states the age of the confirmation that brought a change" fails: the age is more than 2.2 s for a transfer of 1.5 s.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -498,6 +498,8 @@
   }
   failures_ = 0;
   if (stale_) MarkUpToDate();
+  // With the age of this confirmation, not of the one before.
+  RespondToPending(false);
   if (next > Duration::zero()) {
     QueryAfter(next);
   } else {
@@ -569,9 +571,8 @@
          {"known_revision", static_cast<double>(RevisionInEra(known))}});
   }
   const std::vector<PublishedItem> changed = items_.Merge(page);
-  if (changed.empty()) return;
-  on_changed_(changed, {source_, hops, is_restored});
-  RespondToPending(false);
+  context_->table_confirmation.known_revision = items_.revision();
+  if (!changed.empty()) on_changed_(changed, {source_, hops, is_restored});
 }
 
 void PublishedFeed::MarkHeld(const SuspendAwareTime& at) {
