Send a changed route table to other hosts as a compressed difference

While a large route table changed, requests at the readers of the store and at their followers were late, and hosts with slow links, or many beside one reader, received the table late or not in time.

Cause: a reader encoded and sent the whole table once for each follower and change.

A follower states the large items that it holds. A reader keeps the two values before the newest one, and sends the difference from the value that the follower holds, made once for all of them and compressed; a follower that holds none gets the whole value, compressed. A difference carries a checksum. One that does not fit is refused, and the whole value is asked for. Hosts of an earlier version state nothing and get whole items.

--- a/heatherlatch/relay/peer_messages.cc
+++ b/heatherlatch/relay/peer_messages.cc
@@ -244,6 +244,57 @@
       [] { return std::optional<Endpoint>(); });
 }
 
+Json ToJson(const std::vector<HeldValue>& values) {
+  Json encoded = Json::array();
+  for (const HeldValue& value : values) {
+    encoded.push_back({value.key, value.revision});
+  }
+  return encoded;
+}
+
+// Hosts of an earlier version state no values.
+std::optional<std::vector<HeldValue>> ToHeldValues(const Json& message) {
+  if (!message.contains("held")) return std::nullopt;
+  std::vector<HeldValue> values;
+  for (const Json& encoded : message.at("held")) {
+    if (values.size() == kMaxHeldValues) break;
+    values.push_back({encoded.at(0).get<std::string>(),
+                      ToCount(encoded.at(1), kMaxRevision)});
+  }
+  return values;
+}
+
+// A difference is [key, revision, revision of the value held, bytes].
+Json ToJson(const ItemDelta& delta) {
+  return {delta.key, delta.revision, delta.base_revision,
+          ToBinary(delta.bytes)};
+}
+
+ItemDelta ToDelta(const Json& encoded) {
+  return {encoded.at(0).get<std::string>(),
+          ToCount(encoded.at(1), kMaxRevision),
+          ToCount(encoded.at(2), kMaxRevision), FromBinary(encoded.at(3))};
+}
+
+// Reads the items and the differences. One that cannot be read is counted.
+void ReadItems(const Json& message, FeedResponse* response) {
+  for (const Json& item : message.at("items")) {
+    try {
+      response->page.items.push_back(ToItem(item));
+    } catch (const Json::exception&) {
+      ++response->unreadable_items;
+    }
+  }
+  if (!message.contains("deltas")) return;
+  for (const Json& delta : message.at("deltas")) {
+    try {
+      response->deltas.push_back(ToDelta(delta));
+    } catch (const Json::exception&) {
+      ++response->unreadable_items;
+    }
+  }
+}
+
 // Hosts of an earlier version list no hosts. One that cannot be read is left
 // out.
 std::vector<Endpoint> ToHosts(const Json& message) {
@@ -287,6 +338,7 @@
   if (!request.budget_asks.empty()) {
     json["budget"] = ToJson(request.budget_asks);
   }
+  if (request.held_values) json["held"] = ToJson(*request.held_values);
   return ToBytes(json);
 }
 
@@ -320,6 +372,9 @@
   if (!response.budget_grants.empty()) {
     json["grants"] = ToJson(response.budget_grants);
   }
+  for (const ItemDelta& delta : response.deltas) {
+    json["deltas"].push_back(ToJson(delta));
+  }
   return ToBytes(json);
 }
 
@@ -338,6 +393,7 @@
     request.budget_asks = ToAsks(message);
     request.isolated_run = ToIsolatedRunAsk(message);
     request.ended_run = ToIsolatedRunReport(message);
+    request.held_values = ToHeldValues(message);
     return request;
   } catch (const Json::exception& error) {
     return Fail(PeerMessageError{error.what()});
@@ -364,13 +420,7 @@
     response.budget_grants = ToGrants(message);
     response.hosts = ToHosts(message);
     response.isolated_run = ToIsolatedRunAnswer(message);
-    for (const Json& item : message.at("items")) {
-      try {
-        response.page.items.push_back(ToItem(item));
-      } catch (const Json::exception&) {
-        ++response.unreadable_items;
-      }
-    }
+    ReadItems(message, &response);
     return response;
   } catch (const Json::exception& error) {
     return Fail(PeerMessageError{error.what()});
--- a/heatherlatch/relay/peer_messages.h
+++ b/heatherlatch/relay/peer_messages.h
@@ -16,6 +16,7 @@
 #include "heatherlatch/base/result.h"
 #include "heatherlatch/base/time.h"
 #include "heatherlatch/fleet_budget/budget_desk.h"
+#include "heatherlatch/relay/earlier_values.h"
 #include "heatherlatch/relay/published_items.h"
 #include "heatherlatch/relay/store_revision.h"
 
@@ -55,6 +56,15 @@
   IsolatedRunEnd end = IsolatedRunEnd::kInconclusive;
 };
 
+// A large value that the requesting host holds.
+struct HeldValue {
+  std::string key;
+  std::uint64_t revision = 0;
+};
+
+// The most large values that a host states, and differences in a response.
+inline constexpr std::size_t kMaxHeldValues = 8;
+
 struct FeedRequest {
   Endpoint requester;  // Where the requesting host can be queried in turn.
   std::uint64_t after_revision = 0;     // Only later changes are requested.
@@ -72,6 +82,9 @@
   bool wants_hosts = false;
   std::optional<IsolatedRunAsk> isolated_run = std::nullopt;
   std::optional<IsolatedRunReport> ended_run = std::nullopt;
+  // The large values that the requesting host holds, if it understands
+  // differences from them; absent: it does not.
+  std::optional<std::vector<HeldValue>> held_values = std::nullopt;
 };
 
 // The most hosts that may lie between a responding host and the store for its
@@ -105,6 +118,8 @@
   std::vector<BackendServerName> permitted_servers;
   std::vector<BudgetGrant> budget_grants;
   std::vector<Endpoint> hosts;  // Some that the responding host heard of.
+  // Items of the page that are sent as differences, and are not in `page`.
+  std::vector<ItemDelta> deltas = {};
   // Items that could not be read, and are not in `page`.
   int unreadable_items = 0;
   // To `isolated_run`; absent: the responding host issues no such permits.
--- a/heatherlatch/relay/published_items.cc
+++ b/heatherlatch/relay/published_items.cc
@@ -93,6 +93,20 @@
   --tombstone_count_;
 }
 
+const PublishedItem* PublishedItems::Find(const std::string& key) const {
+  const auto found = items_.find(key);
+  const bool exists = found != items_.end() && !found->second.is_deleted;
+  return exists ? &found->second : nullptr;
+}
+
+std::vector<const PublishedItem*> PublishedItems::Existing() const {
+  std::vector<const PublishedItem*> existing;
+  for (const auto& [key, item] : items_) {
+    if (!item.is_deleted) existing.push_back(&item);
+  }
+  return existing;
+}
+
 FeedPage PublishedItems::ChangesSince(std::uint64_t revision) const {
   FeedPage page;
   page.revision = revision_;
--- a/heatherlatch/relay/published_items.h
+++ b/heatherlatch/relay/published_items.h
@@ -59,6 +59,12 @@
   //     unknown because a complete page took the place of the changes
   FeedPage ChangesSince(std::uint64_t revision) const;
 
+  // @return the item with this key, or nullptr if none is known to exist
+  const PublishedItem* Find(const std::string& key) const;
+
+  // @return all items that exist
+  std::vector<const PublishedItem*> Existing() const;
+
   std::uint64_t revision() const { return revision_; }
 
  private:
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "heatherlatch/relay/store_revision.h"
+#include "heatherlatch/relay/value_delta.h"
 #include "heatherlatch/traffic/budget_client.h"
 #include "heatherlatch/traffic/http_status.h"
 #include "heatherlatch/traffic/peer_requests.h"
@@ -202,6 +203,9 @@
     query.suspects = suspects_.All(SteadyClock::now());
     query.wants_all_suspects = true;
   }
+  if (!std::exchange(wants_whole_values_, false)) {
+    query.held_values = HeldValues();
+  }
   const TimePoint now = SteadyClock::now();
   query.wants_hosts = now - hosts_queried_at_ >= kHostsQueryInterval;
   if (query.wants_hosts) hosts_queried_at_ = now;
@@ -452,6 +456,7 @@
                              EraOf(response.page.revision) >= EraOf(known);
   if (response.store_was_unavailable) relisting_.OnStoreUnavailable();
   if (is_up_to_date) relisting_.OnConfirmed(confirmed_at);
+  RestoreDeltas(&response);
   const bool has_changes = !response.page.items.empty();
   if (response.unreadable_items > 0) {
     // They are asked for again, of another source.
@@ -487,6 +492,59 @@
   return {};
 }
 
+void PublishedFeed::RestoreDeltas(FeedResponse* response) {
+  for (ItemDelta& delta : response->deltas) {
+    const PublishedItem* held = items_.Find(delta.key);
+    const bool fits =
+        delta.base_revision == 0 ||
+        (held != nullptr && held->revision == delta.base_revision);
+    std::optional<std::string> value;
+    if (fits) {
+      value = ApplyDelta(
+          delta.base_revision == 0 ? std::string_view() : held->value,
+          delta.bytes, kMaxResponseBytes);
+    }
+    context_->metrics.Count("feed_deltas", value ? "applied" : "refused");
+    if (!value) {
+      ++response->unreadable_items;
+      wants_whole_values_ = true;
+      context_->log.Write(
+          "delta-refused",
+          {{"key", delta.key},
+           {"source", ToString(source_)},
+           {"revision", static_cast<double>(RevisionInEra(delta.revision))}});
+      continue;
+    }
+    response->page.items.push_back(
+        {std::move(delta.key), std::move(*value), delta.revision, false});
+  }
+}
+
+std::vector<HeldValue> PublishedFeed::HeldValues() const {
+  std::vector<HeldValue> held;
+  for (const PublishedItem* item : items_.Existing()) {
+    if (held.size() == kMaxHeldValues) break;
+    if (IsLarge(*item)) held.push_back({item->key, item->revision});
+  }
+  return held;
+}
+
+void PublishedFeed::MakeDeltas(const std::vector<HeldValue>& held,
+                               FeedResponse* response) {
+  std::vector<PublishedItem>& items = response->page.items;
+  const auto first = std::stable_partition(
+      items.begin(), items.end(),
+      [](const PublishedItem& item) { return !IsLarge(item); });
+  for (auto item = first; item != items.end(); ++item) {
+    const auto value = std::find_if(
+        held.begin(), held.end(),
+        [&](const HeldValue& known) { return known.key == item->key; });
+    response->deltas.push_back(earlier_values_.DeltaOf(
+        *item, value == held.end() ? 0 : value->revision));
+  }
+  items.erase(first, items.end());
+}
+
 void PublishedFeed::FinishSuccessfulQuery(TimePoint confirmed_at,
                                           Duration round_trip, Duration next) {
   const TimePoint now = SteadyClock::now();
@@ -570,6 +628,14 @@
          {"revision", static_cast<double>(RevisionInEra(page.revision))},
          {"known_revision", static_cast<double>(RevisionInEra(known))}});
   }
+  if (choice_.IsReader()) {
+    for (const PublishedItem& item : page.items) {
+      const PublishedItem* held = items_.Find(item.key);
+      if (held != nullptr && held->revision < item.revision) {
+        earlier_values_.Keep(*held);
+      }
+    }
+  }
   const std::vector<PublishedItem> changed = items_.Merge(page);
   context_->table_confirmation.known_revision = items_.revision();
   if (!changed.empty()) on_changed_(changed, {source_, hops, is_restored});
@@ -583,10 +649,11 @@
 }
 
 FeedResponse PublishedFeed::BuildPeerResponse(const FeedRequest& request,
-                                              TimePoint received_at) const {
+                                              TimePoint received_at) {
   const TimePoint now = SteadyClock::now();
   FeedResponse response;
   response.page = items_.ChangesSince(request.after_revision);
+  if (request.held_values) MakeDeltas(*request.held_values, &response);
   response.age = std::chrono::duration_cast<milliseconds>(Age(now));
   response.hops = hops_;
   if (const auto& held_at = context_->table_confirmation.held_at) {
--- a/heatherlatch/traffic/published_feed.h
+++ b/heatherlatch/traffic/published_feed.h
@@ -25,6 +25,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherlatch/relay/earlier_values.h"
 #include "heatherlatch/relay/known_hosts.h"
 #include "heatherlatch/relay/peer_messages.h"
 #include "heatherlatch/relay/published_items.h"
@@ -131,6 +132,9 @@
   // Logs each unreadable item once, and counts it.
   void RecordUnreadable(const std::vector<wire::UnreadableItem>& items);
   Result<void> OnPeerResponse(const std::string& body);
+  // Replaces the differences of a response by the items that they restore. One
+  // that does not fit what is held counts as unreadable.
+  void RestoreDeltas(FeedResponse* response);
   // @param era  of the store, as the response states it
   void OnHistoryExpired(std::uint64_t era);
   void OnFailure(const std::string& problem, bool timed_out);
@@ -169,7 +173,12 @@
   // @param is_pushed  whether a host sent them on its own account
   void MergeSuspects(const std::vector<SuspectNotice>& notices, bool is_pushed);
   FeedResponse BuildPeerResponse(const FeedRequest& request,
-                                 TimePoint received_at) const;
+                                 TimePoint received_at);
+  // Replaces the large items of a page by differences from the values that the
+  // requesting host holds.
+  void MakeDeltas(const std::vector<HeldValue>& held, FeedResponse* response);
+  // @return the large values that are held
+  std::vector<HeldValue> HeldValues() const;
   // Notes that the store is proven to have held the items that the host knows.
   // @param at  not later than when it held them
   void MarkHeld(const SuspendAwareTime& at);
@@ -194,6 +203,10 @@
   OnChanged on_changed_;
   SourceChoice choice_;
   PublishedItems items_;
+  EarlierValues earlier_values_;
+  // Whether the next query to a host asks for whole values, because a
+  // difference did not fit.
+  bool wants_whole_values_ = false;
   HistoryConfirmation history_;
   // Of the hosts that this one follows: one that stays behind what is known
   // follows another history.
