Take nothing from a probe that was answered with an undefined status

Cause: `LoadProber` read the status only to tell 200 from others. The load, the rest of the cold start and the name in a response of any status were taken over: the server counted as idle and as warm, and its cold start as ended.

Change: a status that is not 200 to 599 counts as no response. The host takes no reading and no cold state from it, ranks the server as one that failed, closes the connection, writes `probe-not-accepted` and counts `probes_total{outcome="undefined-status"}`. `IsFinalStatus` is the same condition as in `ClassifyResponse`.

Not changed: the load figures of a response to a request that is not accepted are still recorded (`Exchange::OnServerResponse`).

--- a/heatherlatch/traffic/http_status.h
+++ b/heatherlatch/traffic/http_status.h
@@ -19,6 +19,12 @@
   kGatewayTimeout = 504,
 };
 
+// @return whether HTTP defines the status as that of a final response. A
+//     response with another one is not a response to a request.
+constexpr bool IsFinalStatus(unsigned status) {
+  return status >= 200 && status < 600;
+}
+
 }  // namespace heatherlatch
 
 #endif  // HEATHERLATCH_TRAFFIC_HTTP_STATUS_H_
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -81,6 +81,10 @@
     probe.connection->Cancel();
     return {};
   }
+  if (!IsFinalStatus(status)) {
+    OnUndefinedStatus(probe, status);
+    return {};
+  }
   probe.connection->idle_limit = fields.idle_timeout;
   if (fields.server != name) {
     return {Health::kAddressReused, std::nullopt, false};
@@ -99,6 +103,16 @@
   return reply;
 }
 
+void LoadProber::OnUndefinedStatus(const PendingProbe& probe, unsigned status) {
+  const BackendServerName& name = probe.server.name;
+  probe.connection->Cancel();
+  context_->observations.OnFailure(name, SteadyClock::now());
+  context_->metrics.Count("probes", "undefined-status");
+  context_->log.Write(
+      "probe-not-accepted",
+      {{"server", name.str()}, {"status", static_cast<double>(status)}});
+}
+
 void LoadProber::CancelOverdueProbes(TimePoint now) {
   for (auto probe = pending_.begin(); probe != pending_.end();) {
     const auto current = probe++;
--- a/heatherlatch/traffic/load_prober.h
+++ b/heatherlatch/traffic/load_prober.h
@@ -34,7 +34,8 @@
  public:
   explicit LoadProber(TrafficContext* context) : context_(context) {}
 
-  // @param done  called once, with kUnhealthy if no response is received
+  // @param done  called once, with kUnhealthy and no reading if no response is
+  //              received, or one whose status HTTP does not define
   void Probe(const ServerRecord& server, std::function<void(LoadReply)> done);
   // As `Probe`, over a new connection, to distinguish a server that has ended
   // from one that only closed its connections.
@@ -58,6 +59,8 @@
                  std::function<void(LoadReply)> done);
   void OnResult(ProbeList::iterator probe, const CallResult& result);
   LoadReply ReadReply(const PendingProbe& probe, const CallResult& result);
+  // Counts as no response: its fields tell nothing of the server.
+  void OnUndefinedStatus(const PendingProbe& probe, unsigned status);
 
   TrafficContext* context_;
   ProbeList pending_;
--- a/heatherlatch/traffic/response_classification.cc
+++ b/heatherlatch/traffic/response_classification.cc
@@ -5,9 +5,6 @@
 namespace heatherlatch {
 namespace {
 
-// HTTP defines final statuses up to 599.
-constexpr unsigned kStatusEnd = 600;
-
 // The statuses that promise the caller that its request did not run, and never
 // will.
 bool PromisesNotRun(unsigned status) {
@@ -21,9 +18,7 @@
                                const wire::ServerResponseFields& fields,
                                const std::string& request_id) {
   if (fields.request_id != request_id) return NotTrusted{"other-request"};
-  if (status < kOk || status >= kStatusEnd) {
-    return NotTrusted{"undefined-status"};
-  }
+  if (!IsFinalStatus(status)) return NotTrusted{"undefined-status"};
   if (fields.not_run) {
     if (status < kBadRequest) return NotTrusted{"contradictory-refusal"};
     return NotExecuted{};
