Check that a probe with an undefined status tells an entry host nothing

`ResponseHeadParser` refuses such a status before a field is read.

Change: a test of `BackendClient::Probe` with nine statuses.

--- a/heatherlatch/backend/backend_client_test.cc
+++ b/heatherlatch/backend/backend_client_test.cc
@@ -681,5 +681,19 @@
   CHECK_FALSE(client.Probe(silent.endpoint(), kLongTimeout).reachable);
 }
 
+TEST_CASE("a probe that is answered with an undefined status reads nothing") {
+  const std::string status =
+      GENERATE("000", "001", "099", "600", "999", "20", "2000", "-20", "abc");
+  CAPTURE(status);
+  BackendClient client({});
+  RawServer server(RespondToEach("HTTP/1.1 " + status +
+                                 " X\r\nX-Boot-Id: 7\r\nX-Server-State: cold"
+                                 "\r\nContent-Length: 2\r\n\r\n{}"));
+  const ProbeResult result = client.Probe(server.endpoint(), kLongTimeout);
+  CHECK_FALSE(result.reachable);
+  CHECK_FALSE(result.server_status.boot_id.has_value());
+  CHECK_FALSE(result.server_status.cold);
+}
+
 }  // namespace
 }  // namespace heatherlatch
