Query a store again soon that has to confirm an earlier history

Cause: a response of an earlier history counted as a refusal, so that the delay until the next call doubled up to 2.4 s. The history is followed once all responses of three seconds state it; the one that confirmed it came after 4.65 s.

While the store responds but has to confirm what it states, the delay stays at 600 ms at most. "a store that has to confirm what it states is queried again soon" bounds it.

--- a/heatherlatch/relay/source_choice.cc
+++ b/heatherlatch/relay/source_choice.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kMaxDoublings = 5;
+// The same while the store responds, but has to confirm what it states: its
+// responses of three seconds do.
+constexpr int kMaxDoublingsUnconfirmed = 2;
 
 // A single slow response does not make a source farther away than others: a
 // longer round trip counts by this part.
@@ -170,6 +173,11 @@
   store_failed_at_ = now;
 }
 
+void SourceChoice::OnUnconfirmed(TimePoint now) {
+  OnFailure(StoreSource{}, now);
+  store_failures_ = std::min(store_failures_, kMaxDoublingsUnconfirmed + 1);
+}
+
 void SourceChoice::OnStale(const FeedSource& source, TimePoint now) {
   OnFailure(source, now);
   if (const auto* peer_source = std::get_if<PeerSource>(&source)) {
--- a/heatherlatch/relay/source_choice.h
+++ b/heatherlatch/relay/source_choice.h
@@ -119,6 +119,10 @@
   // Records that the source did not respond or refused the request.
   void OnFailure(const FeedSource& source, TimePoint now);
 
+  // Records a response of the store that is of no use until later ones confirm
+  // it. As a failure, but the store is queried again soon.
+  void OnUnconfirmed(TimePoint now);
+
   // Records that the source reported itself as stale: it is not up to date with
   // the store.
   void OnStale(const FeedSource& source, TimePoint now);
--- a/heatherlatch/relay/source_choice_test.cc
+++ b/heatherlatch/relay/source_choice_test.cc
@@ -104,6 +104,19 @@
   CHECK(reader.Next(now).delay == Duration::zero());
 }
 
+// Guards against hosts that follow a store late that goes back unannounced.
+TEST_CASE("a store that has to confirm what it states is queried again soon") {
+  SourceChoice reader(kSelf, {}, DeploymentStart::kFirst);
+  TimePoint now = kStart;
+  for (int responses = 0; now < kStart + seconds(10); ++responses) {
+    reader.OnUnconfirmed(now);
+    const Duration delay = reader.Next(now).delay;
+    CAPTURE(responses);
+    CHECK(delay <= milliseconds(600));
+    now += delay;
+  }
+}
+
 TEST_CASE("a host that restarts queries the store first") {
   SourceChoice host(kSelf, {kNear}, DeploymentStart::kRestart);
   CHECK(Describe(host.Next(kStart)) == "store");
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -352,8 +352,9 @@
       break;
   }
   context_->metrics.Count("store_calls", "unconfirmed");
-  OnFailure("the response is of a history of the store that is not confirmed",
-            false);
+  choice_.OnUnconfirmed(SteadyClock::now());
+  FinishFailedQuery(
+      "the response is of a history of the store that is not confirmed", false);
   return false;
 }
 
