--- a/heatherlatch/fleet/server_directory.cc
+++ b/heatherlatch/fleet/server_directory.cc
@@ -1,5 +1,6 @@
 #include "heatherlatch/fleet/server_directory.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace heatherlatch {
@@ -10,6 +11,7 @@
   entry.cold_until = now + record.cold_remaining;
   entry.expires_at.reset();
   entry.usable_from = TimePoint::min();
+  entry.is_leaving = leaving_.count({record.name, record.started_at_ms}) > 0;
 }
 
 void ServerDirectory::PutFromCopy(const ServerRecord& record, TimePoint now,
@@ -48,6 +50,31 @@
   found->second.expires_at = until;
 }
 
+bool ServerDirectory::MarkLeaving(const BackendServerName& name,
+                                  std::uint64_t started_at_ms, TimePoint now) {
+  const ServerStart start{name, started_at_ms};
+  const bool is_listed = FindStart(start) != nullptr;
+  const bool is_news =
+      leaving_.emplace(start, is_listed ? std::nullopt : std::optional(now))
+          .second;
+  if (is_listed) entries_[name].is_leaving = true;
+  return is_news;
+}
+
+void ServerDirectory::ForgetLeaving() {
+  leaving_.clear();
+  for (auto& [name, entry] : entries_) entry.is_leaving = false;
+}
+
+const ServerEntry* ServerDirectory::FindStart(const ServerStart& start) const {
+  const auto found = entries_.find(start.first);
+  if (found == entries_.end() ||
+      found->second.record.started_at_ms != start.second) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
 void ServerDirectory::Expire(TimePoint now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const std::optional<TimePoint>& until = it->second.expires_at;
@@ -62,6 +89,17 @@
     it = now - it->second.removed_at >= kLeftServerRetention ? left_.erase(it)
                                                              : std::next(it);
   }
+  for (auto it = leaving_.begin(); it != leaving_.end();) {
+    std::optional<TimePoint>& unlisted_since = it->second;
+    if (FindStart(it->first) != nullptr) {
+      unlisted_since.reset();
+    } else if (!unlisted_since) {
+      unlisted_since = now;
+    }
+    it = unlisted_since && now - *unlisted_since >= kLeftServerRetention
+             ? leaving_.erase(it)
+             : std::next(it);
+  }
 }
 
 void ServerDirectory::SetZoneInService(const ZoneName& zone, bool in_service) {
@@ -90,7 +128,21 @@
   return &found->second;
 }
 
+bool ServerDirectory::LeavesOutLeaving(const ServiceName& service,
+                                       TimePoint now) const {
+  return std::any_of(leaving_.begin(), leaving_.end(), [&](const auto& known) {
+    const ServerEntry* entry = FindStart(known.first);
+    return entry != nullptr && entry->record.service == service &&
+           IsInService(*entry, now);
+  });
+}
+
 bool ServerDirectory::IsUsable(const ServerEntry& entry, TimePoint now) const {
+  return !entry.is_leaving && IsInService(entry, now);
+}
+
+bool ServerDirectory::IsInService(const ServerEntry& entry,
+                                  TimePoint now) const {
   return !entry.record.draining && now >= entry.usable_from &&
          zones_out_of_service_.count(entry.record.zone) == 0 &&
          (!entry.expires_at || now < *entry.expires_at);
--- a/heatherlatch/fleet/server_directory.h
+++ b/heatherlatch/fleet/server_directory.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "heatherlatch/base/endpoint.h"
@@ -44,6 +45,7 @@
   // platform's list.
   std::optional<TimePoint> expires_at;
   TimePoint usable_from = TimePoint::min();
+  bool is_leaving = false;  // By its own word.
 };
 
 // How long a server that has left is remembered: longer than a copy of the
@@ -75,6 +77,18 @@
   void MarkMissing(const BackendServerName& name, std::uint64_t store_revision,
                    TimePoint until);
 
+  // Records that a server said that it leaves. It is not usable from then on,
+  // whatever the platform lists, until it starts again under its name. This is
+  // remembered while that start is listed, and for `kLeftServerRetention`
+  // thereafter.
+  // @param started_at_ms  of the start that said so, as in its record
+  // @return whether this was not known
+  bool MarkLeaving(const BackendServerName& name, std::uint64_t started_at_ms,
+                   TimePoint now);
+
+  // Forgets what servers said of leaving, since time may have passed unnoticed.
+  void ForgetLeaving();
+
   // Removes the servers whose grace period has ended, and forgets those that
   // left long ago.
   void Expire(TimePoint now);
@@ -82,9 +96,10 @@
   // Excludes the servers of an availability zone, or includes them again.
   void SetZoneInService(const ZoneName& zone, bool in_service);
 
-  // @return the servers of a service that may receive new requests: not
-  //     draining, in a zone in service, and not past their grace period; the
-  //     pointers are valid until the next change of the directory
+  // @return the servers of a service that may receive new requests: neither
+  //     draining nor leaving by their own word, in a zone in service, and not
+  //     past their grace period; the pointers are valid until the next change
+  //     of the directory
   std::vector<const ServerEntry*> Usable(const ServiceName& service,
                                          TimePoint now) const;
 
@@ -92,10 +107,21 @@
   const ServerEntry* FindUsable(const BackendServerName& name,
                                 TimePoint now) const;
 
+  // @return whether a server of the service may receive no request only because
+  //     it said that it leaves
+  bool LeavesOutLeaving(const ServiceName& service, TimePoint now) const;
+
   std::size_t size() const { return entries_.size(); }
 
  private:
+  // One start of a server: its name, and `started_at_ms` of its record.
+  using ServerStart = std::pair<BackendServerName, std::uint64_t>;
+
   bool IsUsable(const ServerEntry& entry, TimePoint now) const;
+  // @return whether the platform allows requests to the server
+  bool IsInService(const ServerEntry& entry, TimePoint now) const;
+  // @return the entry of a start, or nullptr if it is not the one listed
+  const ServerEntry* FindStart(const ServerStart& start) const;
 
   struct LeftServer {
     std::uint64_t store_revision = 0;
@@ -104,6 +130,8 @@
 
   std::map<BackendServerName, ServerEntry> entries_;
   std::map<BackendServerName, LeftServer> left_;
+  // That said that they leave, and since when they are no longer listed.
+  std::map<ServerStart, std::optional<TimePoint>> leaving_;
   std::set<ZoneName> zones_out_of_service_;
 };
 
--- a/heatherlatch/fleet/server_directory_test.cc
+++ b/heatherlatch/fleet/server_directory_test.cc
@@ -135,6 +135,82 @@
   CHECK(directory.FindUsable(kServer, kStart) == nullptr);
 }
 
+ServerRecord RecordOfStart(std::uint64_t started_at_ms) {
+  ServerRecord record = MakeRecord();
+  record.started_at_ms = started_at_ms;
+  return record;
+}
+
+// Guards against requests to a server that says that it leaves while the store
+// lists it as ready.
+TEST_CASE("a server that said it leaves is not used, whatever is listed") {
+  ServerDirectory directory;
+  directory.Put(RecordOfStart(1), kStart);
+  CHECK_FALSE(directory.LeavesOutLeaving(kService, kStart));
+  CHECK(directory.MarkLeaving(kServer, 1, kStart));
+  CHECK_FALSE(directory.MarkLeaving(kServer, 1, kStart));
+  CHECK(directory.LeavesOutLeaving(kService, kStart));
+  CHECK_FALSE(directory.LeavesOutLeaving(ServiceName("other"), kStart));
+  SECTION("as ready again") { directory.Put(RecordOfStart(1), kStart); }
+  SECTION("as ready by a copy") {
+    directory.PutFromCopy(RecordOfStart(1), kStart, kStart);
+  }
+  SECTION("anew after it was missing") {
+    directory.MarkMissing(kServer, 7, kStart);
+    directory.Expire(kStart);
+    directory.Put(RecordOfStart(1), kStart + seconds(29));
+  }
+  SECTION("for long") { directory.Expire(kStart + seconds(60)); }
+  CHECK(directory.Usable(kService, kStart + seconds(29)).empty());
+  CHECK(directory.FindUsable(kServer, kStart + seconds(29)) == nullptr);
+}
+
+TEST_CASE("a server that starts again after it said it leaves is used") {
+  ServerDirectory directory;
+  directory.Put(RecordOfStart(2), kStart);
+  SECTION("with a later or an earlier clock") {
+    directory.MarkLeaving(kServer, 2, kStart);
+    directory.Put(RecordOfStart(GENERATE(1, 3)), kStart);
+  }
+  SECTION("though the earlier start says it late") {
+    CHECK(directory.MarkLeaving(kServer, 1, kStart));
+  }
+  CHECK(directory.FindUsable(kServer, kStart) != nullptr);
+  CHECK_FALSE(directory.LeavesOutLeaving(kService, kStart));
+}
+
+TEST_CASE("another server at the address of one that leaves is used") {
+  ServerDirectory directory;
+  directory.Put(RecordOfStart(1), kStart);
+  directory.MarkLeaving(kServer, 1, kStart);
+  ServerRecord other = RecordOfStart(1);
+  other.name = BackendServerName("i-2");
+  other.service = ServiceName("other");
+  directory.Put(other, kStart);
+  CHECK(directory.FindUsable(other.name, kStart) != nullptr);
+}
+
+TEST_CASE("what a server said of leaving is forgotten after it has gone") {
+  ServerDirectory directory;
+  directory.Put(RecordOfStart(1), kStart);
+  directory.MarkLeaving(kServer, 1, kStart);
+  directory.Remove(kServer, 7, kStart);
+  directory.Expire(kStart);
+  directory.Expire(kStart + kLeftServerRetention - milliseconds(1));
+  CHECK_FALSE(directory.MarkLeaving(kServer, 1, kStart));
+  directory.Expire(kStart + kLeftServerRetention);
+  CHECK(directory.MarkLeaving(kServer, 1, kStart + kLeftServerRetention));
+}
+
+TEST_CASE("what servers said of leaving is forgotten on demand") {
+  ServerDirectory directory;
+  directory.Put(RecordOfStart(1), kStart);
+  directory.MarkLeaving(kServer, 1, kStart);
+  directory.ForgetLeaving();
+  CHECK(directory.FindUsable(kServer, kStart) != nullptr);
+  CHECK(directory.MarkLeaving(kServer, 1, kStart));
+}
+
 TEST_CASE("the remaining cold start is counted from when the record is put") {
   ServerDirectory directory;
   ServerRecord record = MakeRecord();
