Send nothing to a server that says it leaves

Cause: no response was asked what it says of its server.

Change: probes and responses of every kind (success, refusal, failure) tell `ServerDirectory` that the start to which they were sent leaves. A response with the ID of another request, a probe answered by another instance, and a 421 without the name of the server tell nothing. Candidates that were found before are dropped by name and start, also those that a search has not probed yet, so that a search whose servers have all left ends at once; no permit is asked for them. A suspension forgets it all. `server-says-leaving`, `odd-retry-after` and `heatherlatch_server_statements_total` say so.

--- a/heatherlatch/traffic/cold_permit_client.cc
+++ b/heatherlatch/traffic/cold_permit_client.cc
@@ -1,6 +1,7 @@
 #include "heatherlatch/traffic/cold_permit_client.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "heatherlatch/relay/peer_messages.h"
@@ -44,6 +45,12 @@
 }
 
 void ColdPermitClient::Ask(TimePoint now) {
+  // Some may have left since they were wanted.
+  for (auto it = wanted_.begin(); it != wanted_.end();) {
+    it = context_->directory.FindUsable(*it, now) == nullptr ? wanted_.erase(it)
+                                                             : std::next(it);
+  }
+  if (wanted_.empty()) return;
   const std::vector<Endpoint> readers = OtherReaders();
   if (readers.empty()) {
     wanted_.clear();
--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -645,6 +645,9 @@
   tried_.insert(server.name);
   if (++sends_ == 1) {
     context_->metrics.placement_time.Observe(now - request_.read_at);
+    if (context_->directory.LeavesOutLeaving(service_, now)) {
+      context_->metrics.Count("server_statements", "sent-elsewhere");
+    }
   }
   context_->observations.OnSent(server.name, now);
   context_->metrics.Count("sends_by_distance", ToString(candidate.distance));
@@ -721,7 +724,22 @@
       });
 }
 
+void Exchange::RecordStatement(const Attempt& attempt,
+                               const CallResult& result) const {
+  const auto* response = std::get_if<ServerResponse>(&result);
+  if (response == nullptr) return;
+  const unsigned status = response->message.result_int();
+  const auto fields = wire::ReadServerResponse(status, response->message);
+  if (!IsStatementOf(attempt.server.name, status, fields,
+                     request_.request_id)) {
+    return;
+  }
+  context_->RecordServerStatement(attempt.server, fields, "response",
+                                  SteadyClock::now());
+}
+
 void Exchange::OnResult(const AttemptPtr& attempt, CallResult result) {
+  RecordStatement(*attempt, result);
   if (finished_) return;
   attempts_.erase(std::remove(attempts_.begin(), attempts_.end(), attempt),
                   attempts_.end());
--- a/heatherlatch/traffic/exchange.h
+++ b/heatherlatch/traffic/exchange.h
@@ -192,6 +192,8 @@
   OutgoingRequest BuildServerRequest(const ServerRecord& server) const;
   void ArmHedge(Duration expected);
 
+  // Records what a response says of its server.
+  void RecordStatement(const Attempt& attempt, const CallResult& result) const;
   void OnResult(const AttemptPtr& attempt, CallResult result);
   void OnNotSent(const AttemptPtr& attempt, const NotSent& result);
   void OnNoResponse(const AttemptPtr& attempt, const std::string& problem);
--- a/heatherlatch/traffic/load_prober.cc
+++ b/heatherlatch/traffic/load_prober.cc
@@ -85,6 +85,7 @@
   if (fields.server != name) {
     return {Health::kAddressReused, std::nullopt, false};
   }
+  context_->RecordServerStatement(probe.server, fields, "probe", now);
   context_->observations.OnProbeDuration(name, now - probe.sent_at, now);
   LoadReply reply;
   reply.health = status == kOk ? Health::kHealthy : Health::kUnhealthy;
--- a/heatherlatch/traffic/response_classification.cc
+++ b/heatherlatch/traffic/response_classification.cc
@@ -34,4 +34,13 @@
   return Answered{};
 }
 
+bool IsStatementOf(const BackendServerName& server, unsigned status,
+                   const wire::ServerResponseFields& fields,
+                   const std::string& request_id) {
+  if (fields.request_id != request_id) return false;
+  // A misdirected request was received by another server.
+  return fields.server == server ||
+         (fields.server.empty() && status != kMisdirectedRequest);
+}
+
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/response_classification.h
+++ b/heatherlatch/traffic/response_classification.h
@@ -40,6 +40,17 @@
                                const wire::ServerResponseFields& fields,
                                const std::string& request_id);
 
+// @param server      the server to which the request was sent
+// @param status      the HTTP status of the response
+// @param fields      the decoded header fields of the response
+// @param request_id  the ID of the request that the response is to answer
+// @return whether what the response says of its server is said of `server`:
+//     not if it is the response to another request or of another server at the
+//     address
+bool IsStatementOf(const BackendServerName& server, unsigned status,
+                   const wire::ServerResponseFields& fields,
+                   const std::string& request_id);
+
 }  // namespace heatherlatch
 
 #endif  // HEATHERLATCH_TRAFFIC_RESPONSE_CLASSIFICATION_H_
--- a/heatherlatch/traffic/response_classification_test.cc
+++ b/heatherlatch/traffic/response_classification_test.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <variant>
 
+#include "heatherlatch/traffic/http_status.h"
+
 namespace heatherlatch {
 namespace {
 
@@ -76,5 +78,23 @@
   });
 }
 
+TEST_CASE("a response says of its server what the server itself stated") {
+  const BackendServerName server("i-1");
+  wire::ServerResponseFields fields;
+  fields.request_id = "id-1";
+  const auto is_statement = [&](unsigned status) {
+    return IsStatementOf(server, status, fields, "id-1");
+  };
+  CHECK(is_statement(GENERATE(200, 404, 429, 500, 503)));
+  CHECK_FALSE(is_statement(kMisdirectedRequest));
+  fields.server = server;
+  CHECK(is_statement(kMisdirectedRequest));
+  fields.server = BackendServerName("i-2");
+  CHECK_FALSE(is_statement(kOk));
+  fields.server = server;
+  fields.request_id = GENERATE("", "id-2");
+  CHECK_FALSE(is_statement(kOk));
+}
+
 }  // namespace
 }  // namespace heatherlatch
--- a/heatherlatch/traffic/server_search.cc
+++ b/heatherlatch/traffic/server_search.cc
@@ -49,6 +49,18 @@
   return candidate.reading.has_value();
 }
 
+// Removes the candidates of which the start that was found may no longer be
+// used.
+void RemoveUnusable(const TrafficContext& context,
+                    std::vector<Candidate>* candidates, TimePoint now) {
+  boost::remove_erase_if(*candidates, [&](const Candidate& candidate) {
+    const ServerEntry* entry =
+        context.directory.FindUsable(candidate.server.name, now);
+    return entry == nullptr ||
+           entry->record.started_at_ms != candidate.server.started_at_ms;
+  });
+}
+
 }  // namespace
 
 std::optional<double> ServerSearch::MeanOutstanding(
@@ -335,6 +347,9 @@
   ++round_;
   timer_.cancel();
   for (Candidate& candidate : candidates_) candidate.probe_pending = false;
+  // A server that has gone is not one whose load is unknown.
+  RemoveUnusable(*context_, &candidates_, SteadyClock::now());
+  RemoveUnusable(*context_, &left_out_, SteadyClock::now());
   DropUnknownCandidates();
   RefreshCandidates(*context_, &candidates_, SteadyClock::now());
   if (ProbeLeftOutServers() || (wide_ && ProbeFartherServers())) return;
@@ -418,13 +433,12 @@
     candidate.cold = candidate.cold ||
                      context.observations.IsCold(candidate.server.name, now);
   }
-  // Servers that were removed or turned cold, and zones taken out of service,
-  // meanwhile.
+  // Servers that left, started again or turned cold, and zones taken out of
+  // service, meanwhile.
+  RemoveUnusable(context, candidates, now);
   boost::remove_erase_if(*candidates, [&](const Candidate& candidate) {
-    return context.directory.FindUsable(candidate.server.name, now) ==
-               nullptr ||
-           (candidate.cold &&
-            !context.MaySendDuringColdStart(candidate.server, now));
+    return candidate.cold &&
+           !context.MaySendDuringColdStart(candidate.server, now);
   });
 }
 
--- a/heatherlatch/traffic/traffic_context.cc
+++ b/heatherlatch/traffic/traffic_context.cc
@@ -152,6 +152,28 @@
   }
 }
 
+void TrafficContext::RecordServerStatement(
+    const ServerRecord& server, const wire::ServerResponseFields& fields,
+    std::string_view source, TimePoint now) {
+  if (fields.odd_retry_after) {
+    metrics.Count("server_statements", "odd-retry-after");
+    log.Write("odd-retry-after",
+              {{"server", server.name.str()},
+               {"stated", *fields.odd_retry_after},
+               {"taken_ms",
+                fields.retry_after ? ToMilliseconds(*fields.retry_after) : 0}});
+  }
+  if (!fields.is_leaving ||
+      !directory.MarkLeaving(server.name, server.started_at_ms, now)) {
+    return;
+  }
+  metrics.Count("server_statements", "leaving");
+  log.Write("server-says-leaving",
+            {{"server", server.name.str()},
+             {"started_at_ms", std::to_string(server.started_at_ms)},
+             {"source", source}});
+}
+
 std::optional<Candidate> TrafficContext::CandidateFor(
     const BackendServerName& server, TimePoint now) const {
   const ServerEntry* entry = directory.FindUsable(server, now);
--- a/heatherlatch/traffic/traffic_context.h
+++ b/heatherlatch/traffic/traffic_context.h
@@ -35,6 +35,7 @@
 #include "heatherlatch/traffic/server_connection_pool.h"
 #include "heatherlatch/traffic/traffic_metrics.h"
 #include "heatherlatch/zone_room/room_map.h"
+#include "platform/server_fields.h"
 
 namespace heatherlatch {
 
@@ -88,6 +89,14 @@
   void RecordReading(const ServerRecord& server, const LoadReading& reading,
                      TimePoint now);
 
+  // Records what a response of a server says of the server itself. The response
+  // is one to a request or a probe that was sent to it.
+  // @param server  as it was listed when the request was sent
+  // @param source  `probe` or `response`, for the log
+  void RecordServerStatement(const ServerRecord& server,
+                             const wire::ServerResponseFields& fields,
+                             std::string_view source, TimePoint now);
+
   // @return a usable server as a candidate without a reading; nothing if it may
   //     not receive a request now
   std::optional<Candidate> CandidateFor(const BackendServerName& server,
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -239,6 +239,7 @@
   if (suspended - suspended_ > kMinSuspension) {
     context_.log.Write("was-suspended",
                        {{"ms", ToMilliseconds(suspended - suspended_)}});
+    context_.directory.ForgetLeaving();
     feed_.Revalidate();
   }
   suspended_ = suspended;
