--- a/heatherlatch/traffic/response_classification.cc
+++ b/heatherlatch/traffic/response_classification.cc
@@ -32,7 +32,7 @@
 bool IsStatementOf(const BackendServerName& server, unsigned status,
                    const wire::ServerResponseFields& fields,
                    const std::string& request_id) {
-  if (fields.request_id != request_id) return false;
+  if (fields.request_id != request_id || !IsFinalStatus(status)) return false;
   // A misdirected request was received by another server.
   return fields.server == server ||
          (fields.server.empty() && status != kMisdirectedRequest);
--- a/heatherlatch/traffic/response_classification.h
+++ b/heatherlatch/traffic/response_classification.h
@@ -45,8 +45,8 @@
 // @param fields      the decoded header fields of the response
 // @param request_id  the ID of the request that the response is to answer
 // @return whether what the response says of its server is said of `server`:
-//     not if it is the response to another request or of another server at the
-//     address
+//     not if it is the response to another request, has a status that HTTP does
+//     not define, or is of another server at the address
 bool IsStatementOf(const BackendServerName& server, unsigned status,
                    const wire::ServerResponseFields& fields,
                    const std::string& request_id);
--- a/heatherlatch/traffic/response_classification_test.cc
+++ b/heatherlatch/traffic/response_classification_test.cc
@@ -86,6 +86,7 @@
     return IsStatementOf(server, status, fields, "id-1");
   };
   CHECK(is_statement(GENERATE(200, 404, 429, 500, 503)));
+  CHECK_FALSE(is_statement(GENERATE(0, 99, 600)));
   CHECK_FALSE(is_statement(kMisdirectedRequest));
   fields.server = server;
   CHECK(is_statement(kMisdirectedRequest));
