Take a list with an unreadable route table for a failed response

Cause: the unreadable table was stored without a value at the revision of the response, above its own, so that the same table, read well the next time, was dropped as older.

The response counts as failed, and the confirmation is dropped, so that requests without a route get 503 until a response can be read. A response of another host that has unreadable items and is of a later era is not merged.

"a garbled listing of a table does not spoil the next listing" fails on (no version 2 in 20 s) and passes now; "no 404 while the item of the newest table cannot be read" still does.

--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -90,6 +90,14 @@
   return feed;
 }
 
+bool ListsRouteTable(const std::vector<wire::UnreadableItem>& items) {
+  return std::any_of(items.begin(), items.end(),
+                     [](const wire::UnreadableItem& item) {
+                       return std::holds_alternative<wire::RouteTableKey>(
+                           wire::ReadKey(item.key));
+                     });
+}
+
 std::vector<SuspectNotice> ReadSuspects(const std::string& body) {
   return boost::leaf::try_handle_all(
       [&]() -> Result<std::vector<SuspectNotice>> {
@@ -363,6 +371,11 @@
   BOOST_LEAF_AUTO(page, wire::ReadStorePage(body, era));
   if (!FollowsHistory(page.revision)) return {};
   RecordUnreadable(page.unreadable);
+  if (ListsRouteTable(page.unreadable)) {
+    // It may be newer than the table held.
+    context_->table_confirmation.confirmed_at.reset();
+    return Fail(wire::DocumentError{"the route table cannot be read"});
+  }
   const TimePoint made_at = ResponseBeganAt();
   hops_ = 0;
   if (has_complete_list_) {
@@ -460,7 +473,11 @@
   RestoreDeltas(&response);
   const bool has_changes = !response.page.items.empty();
   if (response.unreadable_items > 0) {
-    // They are asked for again, of another source.
+    // They are asked for again, of another source. Without the revision, those
+    // of a restored store cannot be told from other changes.
+    if (EraOf(response.page.revision) > EraOf(known)) {
+      response.page.items.clear();
+    }
     response.page.is_complete = false;
     response.page.revision = known;
   }
