--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -799,12 +799,6 @@
   attempt->connection->idle_limit = fields.idle_timeout;
   const ResponseProof proof =
       ClassifyResponse(status, fields, request_.request_id);
-  if (fields.load) {
-    const bool counts_itself = !std::holds_alternative<NotExecuted>(proof);
-    context_->RecordReading(
-        attempt->server,
-        counts_itself ? WithoutOneRequest(*fields.load) : *fields.load, now);
-  }
   if (const auto* not_trusted = std::get_if<NotTrusted>(&proof)) {
     LogNotAccepted(attempt, status, fields, not_trusted->reason);
     attempt->connection->Cancel();
@@ -812,6 +806,12 @@
                               std::string(not_trusted->reason));
     return;
   }
+  if (fields.load) {
+    const bool counts_itself = !std::holds_alternative<NotExecuted>(proof);
+    context_->RecordReading(
+        attempt->server,
+        counts_itself ? WithoutOneRequest(*fields.load) : *fields.load, now);
+  }
   if (!std::holds_alternative<Answered>(proof)) {
     attempt->connection->RecordFailedRequest(request_.request_id);
   }
