Keep earlier tables at each host that reads the store, and bound differences

Only hosts that the settings name as readers kept earlier tables, so that others that read the store sent whole ones. A store that is set up anew gives out its revisions again, and a kept difference could then have restored another table. A value of very short parts was refused by its own bound.

Every host that takes items from the store keeps the tables that they replace, and drops them when the store is set up anew. Parts shorter than four bytes are not copied.

--- a/heatherlatch/relay/value_delta.cc
+++ b/heatherlatch/relay/value_delta.cc
@@ -23,6 +23,8 @@
 // of a table that are alike in both values become equal parts.
 constexpr char kPartEnd = '}';
 constexpr std::size_t kMaxPartBytes = 4096;
+// Of a part that is copied: the command that copies it takes about as many.
+constexpr std::size_t kMinCopiedBytes = 4;
 
 constexpr int kCompressionLevel = 4;
 constexpr int kWindowBits = 15;
@@ -133,7 +135,7 @@
   ScriptWriter script;
   for (const std::string_view part : SplitIntoParts(value)) {
     const auto found = positions.find(part);
-    if (found == positions.end()) {
+    if (found == positions.end() || part.size() < kMinCopiedBytes) {
       script.Append(part);
     } else {
       script.Copy(found->second, part.size());
@@ -221,7 +223,7 @@
   const std::string_view checksum = delta.substr(0, kChecksumBytes);
   delta.remove_prefix(kChecksumBytes);
   const auto script_size = TakeNumber(&delta);
-  // Commands are never more than the bytes that they restore.
+  // A command takes at most twice the bytes of what it restores.
   if (!script_size || *script_size > 2 * max_value_size + 1) {
     return std::nullopt;
   }
--- a/heatherlatch/relay/value_delta_test.cc
+++ b/heatherlatch/relay/value_delta_test.cc
@@ -49,6 +49,13 @@
   CHECK(ApplyDelta(before, MakeDelta(before, grown), kMaxSize) == grown);
 }
 
+// Guards against commands that are longer than the parts that they copy.
+TEST_CASE("a value of many short parts is restored") {
+  const std::string value(1000, '}');
+  const std::string base = std::string(200, 'x') + "}}";
+  CHECK(ApplyDelta(base, MakeDelta(base, value), value.size()) == value);
+}
+
 TEST_CASE("a difference is applied to no other value, and not when damaged") {
   const std::string base = Table(0, 1, 20);
   const std::string value = Table(3, 1, 25);
--- a/heatherlatch/traffic/published_feed.cc
+++ b/heatherlatch/traffic/published_feed.cc
@@ -522,7 +522,9 @@
           delta.base_revision == 0 ? std::string_view() : held->value,
           delta.bytes, kMaxResponseBytes);
     }
-    context_->metrics.Count("feed_deltas", value ? "applied" : "refused");
+    const std::string_view applied =
+        delta.base_revision == 0 ? "whole" : "applied";
+    context_->metrics.Count("feed_deltas", value ? applied : "refused");
     if (!value) {
       ++response->unreadable_items;
       wants_whole_values_ = true;
@@ -636,7 +638,10 @@
       hops == 0 && page.is_complete && page.revision < known;
   const bool is_restored =
       is_set_up_anew || (known > 0 && EraOf(page.revision) > EraOf(known));
-  if (is_set_up_anew) items_.StartOver();
+  if (is_set_up_anew) {
+    items_.StartOver();
+    earlier_values_ = {};  // Their revisions are given out again.
+  }
   if (is_restored) {
     relisting_.OnRestored(confirmed_at);
     context_->log.Write(
@@ -646,7 +651,7 @@
          {"revision", static_cast<double>(RevisionInEra(page.revision))},
          {"known_revision", static_cast<double>(RevisionInEra(known))}});
   }
-  if (choice_.IsReader()) {
+  if (hops == 0) {  // Other hosts may follow one that reads the store.
     for (const PublishedItem& item : page.items) {
       const PublishedItem* held = items_.Find(item.key);
       if (held != nullptr && held->revision < item.revision) {
