--- a/heatherlatch/traffic/exchange.cc
+++ b/heatherlatch/traffic/exchange.cc
@@ -1026,11 +1026,11 @@
        {"authority", basis ? basis->authority() : absent},
        {"target", basis ? basis->target() : absent},
        {"configuration", basis ? basis->version() : absent},
-       {"table_revision", basis ? basis->table_revision() : absent},
-       {"known_revision", basis ? basis->known_revision() : absent},
        {"age_ms", basis ? basis->age_ms() : absent},
        {"source", basis ? basis->source() : absent},
-       {"hops", basis ? basis->hops() : absent}});
+       {"hops", basis ? basis->hops() : absent},
+       {"table_revision", basis ? basis->table_revision() : absent},
+       {"known_revision", basis ? basis->known_revision() : absent}});
   const Done done = std::move(done_);
   if (done) done(std::move(response));
 }
--- a/heatherlatch/traffic/traffic_host.cc
+++ b/heatherlatch/traffic/traffic_host.cc
@@ -392,9 +392,9 @@
             "configuration",
             {{"version", static_cast<double>(table.version)},
              {"before", static_cast<double>(known)},
-             {"revision", static_cast<double>(RevisionInEra(item.revision))},
              {"source", ToString(origin.source)},
-             {"hops", static_cast<double>(origin.hops)}});
+             {"hops", static_cast<double>(origin.hops)},
+             {"revision", static_cast<double>(RevisionInEra(item.revision))}});
         for (const RouteName& route : table.unreadable_routes) {
           context_.log.Write("route-refused", {{"route", route.str()}});
         }
