review: an upload whose worker reads late is broken off at a stop (case 12)

The former case 12, a consumer that pauses in reading, is dropped, since review/4 shows it. Nothing is fixed.

--- a/review/stage/main.cc
+++ b/review/stage/main.cc
@@ -13,7 +13,7 @@
   const std::map<std::string, std::function<int(const stage::Setup&)>> cases = {
       {"smuggled", stage::PlaySmuggled},
       {"late-write", stage::PlayLateWrite},
-      {"stalled-consumer", stage::PlayStalledConsumer},
+      {"late-reader", stage::PlayLateReader},
   };
   const auto played = argc == 6 ? cases.find(argv[1]) : cases.end();
   if (played == cases.end()) {
--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -34,6 +34,10 @@
 
 constexpr int kBacklog = 128;
 constexpr std::size_t kReadBytes = 16384;
+// Of a long body, what a worker that reads late reads before its work, and its
+// receive buffer.
+constexpr std::size_t kReadAtOnceBytes = 16384;
+constexpr int kWindowBytes = 16384;
 constexpr int kHostEndMilliseconds = 8000;
 constexpr const char* kLineEnd = "\r\n";
 
@@ -148,13 +152,8 @@
 
 Connection::~Connection() { Close(); }
 
-std::unique_ptr<Connection> Connection::To(std::uint16_t port,
-                                           int window_bytes) {
+std::unique_ptr<Connection> Connection::To(std::uint16_t port) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (window_bytes > 0) {
-    (void)::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &window_bytes,
-                       sizeof(window_bytes));
-  }
   const sockaddr_in address = Loopback(port);
   auto connection = std::make_unique<Connection>(descriptor);
   if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
@@ -254,8 +253,13 @@
   return head.substr(begin, head.find(' ', begin) - begin);
 }
 
-Listener::Listener(Handler handler) : handler_(std::move(handler)) {
+Listener::Listener(Handler handler, int window_bytes)
+    : handler_(std::move(handler)) {
   std::tie(descriptor_, port_) = Bind();
+  if (window_bytes > 0) {
+    (void)::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &window_bytes,
+                       sizeof(window_bytes));
+  }
   ::listen(descriptor_, kBacklog);
   std::thread([this] { Accept(); }).detach();
 }
@@ -392,7 +396,8 @@
       record_(record),
       options_(std::move(options)),
       born_(UnixMilliseconds()),
-      listener_([this](Connection& connection) { Serve(connection); }) {}
+      listener_([this](Connection& connection) { Serve(connection); },
+                options_.reads_late ? kWindowBytes : 0) {}
 
 std::string Worker::key() const { return wire::kServersPrefix + name(); }
 
@@ -434,19 +439,20 @@
 
 void Worker::Serve(Connection& connection) {
   std::string head;
-  std::string body;
   while (connection.ReadHead(&head)) {
-    const std::string length = FieldOf(head, "Content-Length");
-    if (!length.empty() &&
-        !connection.ReadBytes(std::strtoull(length.c_str(), nullptr, 10),
-                              &body)) {
+    const std::size_t length =
+        std::strtoull(FieldOf(head, "Content-Length").c_str(), nullptr, 10);
+    std::string body;
+    const bool reads_on = options_.reads_late && length > kReadAtOnceBytes;
+    if (!connection.ReadBytes(reads_on ? kReadAtOnceBytes : length, &body)) {
       return;
     }
-    Run(connection, head);
+    if (!Run(connection, head, reads_on ? length - body.size() : 0)) return;
   }
 }
 
-void Worker::Run(Connection& connection, const std::string& head) {
+bool Worker::Run(Connection& connection, const std::string& head,
+                 std::size_t unread) {
   const std::string id = FieldOf(head, wire::kRequestIdField);
   if (id.empty()) {
     bool is_leaving = false;
@@ -454,17 +460,16 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       is_leaving = state_ != "ready";
     }
-    connection.Write((is_leaving ? std::string("HTTP/1.1 503 Leaving")
-                                 : std::string("HTTP/1.1 200 OK")) +
-                     kLineEnd + LoadFields() + "Content-Length: 0" + kLineEnd +
-                     kLineEnd);
-    return;
+    return connection.Write((is_leaving ? std::string("HTTP/1.1 503 Leaving")
+                                        : std::string("HTTP/1.1 200 OK")) +
+                            kLineEnd + LoadFields() + "Content-Length: 0" +
+                            kLineEnd + kLineEnd);
   }
   if (FieldOf(head, wire::kExpectedServerField) != name()) {
-    connection.Write(std::string("HTTP/1.1 421 Misdirected Request") +
-                     kLineEnd + wire::kRequestIdField + ": " + id + kLineEnd +
-                     LoadFields() + "Content-Length: 0" + kLineEnd + kLineEnd);
-    return;
+    return connection.Write(std::string("HTTP/1.1 421 Misdirected Request") +
+                            kLineEnd + wire::kRequestIdField + ": " + id +
+                            kLineEnd + LoadFields() + "Content-Length: 0" +
+                            kLineEnd + kLineEnd);
   }
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -473,14 +478,18 @@
   }
   record_->Line("worker " + name() + " runs " + id + " " + MethodOf(head));
   std::this_thread::sleep_for(std::chrono::milliseconds(options_.work_ms));
+  std::string rest;
+  const bool is_read = connection.ReadBytes(unread, &rest);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     --running_;
   }
-  const std::string body = options_.body_bytes > 0
-                               ? std::string(options_.body_bytes, 'b')
-                               : "done " + id + " by " + name();
-  connection.Write(
+  if (!is_read) {
+    record_->Line("worker " + name() + " can't read the rest of " + id);
+    return false;
+  }
+  const std::string body = "done " + id + " by " + name();
+  return connection.Write(
       std::string("HTTP/1.1 200 OK") + kLineEnd + wire::kRequestIdField + ": " +
       id + kLineEnd + wire::kSignatureField + ": s." + id + kLineEnd +
       LoadFields() + "Content-Length: " + std::to_string(body.size()) +
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -55,10 +55,8 @@
   Connection& operator=(const Connection&) = delete;
   ~Connection();
 
-  // @param window_bytes  of the receive buffer; 0: as the system has it
   // @return a connection to a port of 127.0.0.1; not open if there is none
-  static std::unique_ptr<Connection> To(std::uint16_t port,
-                                        int window_bytes = 0);
+  static std::unique_ptr<Connection> To(std::uint16_t port);
 
   bool is_open() const { return descriptor_ >= 0; }
   void SetReadTimeout(int milliseconds) const;
@@ -89,7 +87,8 @@
  public:
   using Handler = std::function<void(Connection&)>;
 
-  explicit Listener(Handler handler);
+  // @param window_bytes  of the receive buffers; 0: as the system has it
+  explicit Listener(Handler handler, int window_bytes = 0);
   std::uint16_t port() const { return port_; }
   // Stops listening and ends all connections, as a process that ends.
   void End();
@@ -173,7 +172,8 @@
     std::string entry;  // Template of its entry in the store.
     int slots = 3;
     int work_ms = 100;
-    std::size_t body_bytes = 0;  // Of its answers; 0: a short text.
+    // Begins to work before it has read a long body, and reads on later.
+    bool reads_late = false;
   };
 
   Worker(Store* store, Record* record, Options options);
@@ -193,7 +193,9 @@
 
  private:
   void Serve(Connection& connection);
-  void Run(Connection& connection, const std::string& head);
+  // @param unread  bytes of the body that it reads after its work
+  // @return whether the connection can be used on
+  bool Run(Connection& connection, const std::string& head, std::size_t unread);
   std::string LoadFields();
 
   Store* store_;
@@ -305,7 +307,7 @@
 // case could not run.
 int PlaySmuggled(const Setup& setup);
 int PlayLateWrite(const Setup& setup);
-int PlayStalledConsumer(const Setup& setup);
+int PlayLateReader(const Setup& setup);
 
 }  // namespace stage
 
